Add workspace, design page and the interfaces of the duties

The design page settles the log streams, ownership, requests and placement. Events, actions and peer messages of each duty are defined first, so that the slices can be written in parallel.

--- /dev/null
+++ b/yuccahoist/src/dispatch/mod.rs
@@ -0,0 +1,5 @@
+//! Queues, slots and connections of owned workers.
+
+mod message;
+
+pub use self::message::*;
--- /dev/null
+++ b/yuccahoist/src/lib.rs
@@ -0,0 +1,17 @@
+//! Cluster scheduler for unlike workloads.
+//!
+//! The library holds one module per duty. The decision logic of each is a state machine without I/O (see
+//! [`duty::Duty`]); actors and sockets wrap it.
+
+pub mod clock;
+pub mod dispatch;
+pub mod duty;
+pub mod front;
+pub mod id;
+pub mod job;
+pub mod ownership;
+pub mod placement;
+pub mod platform;
+pub mod request;
+pub mod stream;
+pub mod unit;
--- /dev/null
+++ b/yuccahoist/tests/id.rs
@@ -0,0 +1,39 @@
+//! Identifiers and quantities: text forms round-trip, bad text gets an error that names the value.
+
+use yuccahoist::id::{HostId, RequestId, WorkerId};
+use yuccahoist::unit::{CpuMillis, Resources, Timestamp, WallTime};
+
+/// Guards against log and configuration texts that cannot be read back.
+#[test]
+fn text_forms_round_trip() {
+    let resources = Resources::new(1_500, 2_048, 2);
+    assert_eq!(resources.to_string().parse(), Ok(resources));
+    let time = Timestamp::from_micros(12_000_500);
+    assert_eq!(time.to_string().parse(), Ok(time));
+    let id = RequestId::from_parts(WallTime::from_millis(1_790_000_000_123), [7; 10]);
+    assert_eq!(id.to_string().parse(), Ok(id));
+    assert_eq!(id.created(), WallTime::from_millis(1_790_000_000_123));
+}
+
+/// Guards against names that would be accepted here and refused by another part.
+#[test]
+fn bad_text_is_refused() {
+    struct Case {
+        text: &'static str,
+        error: &'static str,
+    }
+    let cases = [
+        Case { text: "", error: "host is empty" },
+        Case { text: "a b", error: "character ' '" },
+        Case {
+            text: "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
+            error: "65 characters",
+        },
+    ];
+    for case in cases {
+        let error = case.text.parse::<HostId>().expect_err(case.text).to_string();
+        assert!(error.contains(case.error), "{error}");
+    }
+    assert!("12".parse::<CpuMillis>().is_err());
+    assert!("worker/1".parse::<WorkerId>().is_err());
+}
--- /dev/null
+++ b/yuccahoist_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benches and experiments for the decision logic.
--- /dev/null
+++ b/yuccahoist_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of yuccahoist.
+
+fn main() {}
--- /dev/null
+++ b/yuccahoist_standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform: log service, workers, backend servers and host list.
--- /dev/null
+++ b/yuccahoistd/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry host daemon.
+
+fn main() {}
