--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod clock;
 pub mod dispatch;
 pub mod duty;
+pub mod event;
 pub mod front;
 pub mod id;
 pub mod job;
 pub mod ownership;
+pub mod peer;
 pub mod placement;
 pub mod platform;
 pub mod request;
--- /dev/null
+++ b/yuccahoist/src/peer/mod.rs
@@ -0,0 +1,5 @@
+//! Connections between entry hosts.
+
+mod message;
+
+pub use self::message::*;
