Add stream client and configuration types

The composition of the host needs the types of both slices. The configuration slice has documents, fold, validation and the verdict duty.

--- /dev/null
+++ b/yuccahoist/src/config/validate/bounds.rs
@@ -0,0 +1,54 @@
+//! Ranges of classes, teams and limits.
+
+use super::Findings;
+use crate::config::CellDocument;
+use crate::id::TeamId;
+
+/// One day, milliseconds.
+const DAY_MS: u64 = 24 * 3_600_000;
+/// Rounding error that the sum of shares may have.
+const SHARE_ERROR: f64 = 1e-9;
+
+/// Checks classes, teams and limits.
+pub(super) fn check(document: &CellDocument, findings: &mut Findings) {
+    check_classes(document, findings);
+    check_teams(document, findings);
+    check_limits(document, findings);
+}
+
+fn check_classes(document: &CellDocument, findings: &mut Findings) {
+    for (class, section) in document.classes.all() {
+        let path = |field: &str| format!("classes.{class}.{field}");
+        findings.check(
+            section.share > 0.0 && section.share <= 1.0,
+            path("share"),
+            section.share,
+            "above 0, at most 1",
+        );
+        findings.range(path("queue"), section.queue, 1, 1_000_000);
+        findings.range(path("run_limit_ms"), section.run_limit_ms, 1, DAY_MS);
+        findings.range(path("deadline_limit_ms"), section.deadline_limit_ms, 1, DAY_MS);
+    }
+    let sum: f64 = document.classes.all().iter().map(|(_, section)| section.share).sum();
+    findings.check(sum <= 1.0 + SHARE_ERROR, "classes (sum of shares)", sum, "at most 1");
+}
+
+fn check_teams(document: &CellDocument, findings: &mut Findings) {
+    findings.range("teams (number)", document.teams.len(), 1, 1_000);
+    for (name, section) in &document.teams {
+        let id = name.parse::<TeamId>();
+        findings.check(id.is_ok(), format!("teams.{name}"), name, "a name of 1 to 64 characters");
+        findings.range(format!("teams.{name}.weight"), section.weight, 1, 1_000);
+    }
+}
+
+fn check_limits(document: &CellDocument, findings: &mut Findings) {
+    let limits = &document.limits;
+    findings.range("limits.id_window_ms", limits.id_window_ms, 60_000, 3_600_000);
+    findings.range("limits.clock_skew_ms", limits.clock_skew_ms, 0, 60_000);
+    findings.range("limits.retry_share", limits.retry_share, 0.0, 1.0);
+    findings.range("limits.body_bytes", limits.body_bytes, 1, 64 << 20);
+    // 9 hosts with 20 batches a second use 180 of the 300 appends a second that the cell has.
+    findings.range("limits.intent_rate", limits.intent_rate, 1, 20);
+    findings.range("limits.intent_batch", limits.intent_batch, 1, 10_000);
+}
--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`duty::Duty`]); actors and sockets wrap it.
 
 pub mod clock;
+pub mod config;
 pub mod dispatch;
 pub mod duty;
 pub mod event;
--- a/yuccahoist/src/stream/mod.rs
+++ b/yuccahoist/src/stream/mod.rs
@@ -2,13 +2,23 @@
 //!
 //! Hosts agree on shared facts by folding the same records in offset order. This module has what all streams share:
 //! the envelope that makes duplicate appends harmless, and the [`Fold`] trait that each slice implements for its own
-//! records.
+//! records. [`StreamClient`] is the state machine that reads and appends one stream.
+
+mod client;
+mod entry;
+mod message;
+mod producers;
+mod settings;
 
 use std::fmt;
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+pub use self::client::StreamClient;
+pub use self::entry::encode;
+pub use self::message::*;
+pub use self::settings::StreamSettings;
 use crate::id::{Incarnation, Offset, Sequence};
 
 /// Stream of the log service.
