Add the fold of the cell stream, the membership duty and the ownership signatures

The composition of the host needs the interfaces of both duties. CellFold holds the view and the owner of each subject without times and emits CellChange; the ownership duty now gets these changes in place of raw records.

Join names the incarnation that it replaces, because a join of an ended process that takes effect late would otherwise replace its successor. Cleared is new: it lets the fold forget earlier owners once the current owner knows that they ended.

Ownership itself is still a stub.

--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod ownership;
 pub mod peer;
 pub mod placement;
--- a/yuccahoist/src/ownership/message.rs
+++ b/yuccahoist/src/ownership/message.rs
@@ -5,15 +5,21 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Epoch, HostId, Incarnation, Offset, SiteId, Subject, ZoneId};
+use crate::ownership::CellChange;
 use crate::unit::Timestamp;
 
 /// Record of the `cell` stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CellRecord {
-    /// Puts an incarnation in the view; replaces an earlier one of the same host.
-    Join(Member),
-    /// Takes the producer out of the view.
+    /// Puts an incarnation in the view, if `previous` is the host's current one.
+    Join {
+        /// Producer as a member.
+        member: Member,
+        /// Incarnation of the same host that it replaces. A late join of an ended process is thereby void.
+        previous: Option<Incarnation>,
+    },
+    /// Takes the producer out of the view; it holds nothing and has no request in progress.
     Leave,
     /// Takes an incarnation out of the view that has been silent for too long.
     Remove {
@@ -36,11 +42,16 @@
         /// Offset of the next record that the producer had not read.
         read_to: Offset,
     },
-    /// Ends leases of the producer; it sends nothing more under them.
+    /// Ends leases of the producer; it sends nothing more under them and has no request in progress.
     Release {
         /// Epochs that end.
         epochs: Vec<Epoch>,
     },
+    /// States that all owners before the producer's epoch have ended and have no request in progress.
+    Cleared {
+        /// Epoch of the producer.
+        epoch: Epoch,
+    },
     /// State after all records up to `through`.
     Snapshot(Box<super::CellSnapshot>),
 }
@@ -109,15 +120,8 @@
 /// What the ownership duty reacts to.
 #[derive(Debug, Clone)]
 pub enum OwnershipEvent {
-    /// Record of the `cell` stream was folded.
-    Record {
-        /// Offset of the record.
-        offset: Offset,
-        /// Producer of the record.
-        producer: Incarnation,
-        /// Record.
-        record: CellRecord,
-    },
+    /// Fold of the `cell` stream changed.
+    Change(CellChange),
     /// Append of this host took effect at an offset; the record is folded when it is read.
     Appended {
         /// Number given with [`OwnershipAction::Append`].
@@ -130,7 +134,7 @@
         /// Number given with [`OwnershipAction::Append`].
         ticket: u64,
     },
-    /// Reader has reached the end of the stream as of the time the read was sent.
+    /// Reader has reached the end of the stream as of the time the read was sent; follows the changes of that read.
     CaughtUp {
         /// Time before the read was sent.
         asked: Timestamp,
