--- a/yuccahoist/src/ownership/fold.rs
+++ b/yuccahoist/src/ownership/fold.rs
@@ -204,13 +204,7 @@
         out.push(CellChange::Lease { subject, state });
     }
 
-    fn renew(
-        &mut self,
-        producer: Incarnation,
-        epochs: Vec<Epoch>,
-        read_to: Offset,
-        out: &mut Vec<CellChange>,
-    ) {
+    fn renew(&mut self, producer: Incarnation, epochs: &[Epoch], read_to: Offset, out: &mut Vec<CellChange>) {
         if !self.members.contains_key(&producer) {
             return;
         }
@@ -280,7 +274,7 @@
             CellRecord::Claim { subject, previous, read_to } => {
                 self.claim(offset, producer, (subject, previous, read_to), out);
             }
-            CellRecord::Renew { epochs, read_to } => self.renew(producer, epochs, read_to, out),
+            CellRecord::Renew { epochs, read_to } => self.renew(producer, &epochs, read_to, out),
             CellRecord::Release { epochs } => self.release(producer, &epochs, out),
             CellRecord::Cleared { epoch } => self.clear(producer, epoch, out),
             CellRecord::Snapshot(_) => source = None,
