--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod ownership;
 pub mod peer;
 pub mod placement;
