--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod front;
 pub mod id;
+pub mod intent;
 pub mod job;
 pub mod ownership;
 pub mod peer;
