--- a/yuccahoist/src/dispatch/policy.rs
+++ b/yuccahoist/src/dispatch/policy.rs
@@ -36,6 +36,16 @@
 }
 
 impl SlotView {
+    /// Measured mean run time of a class; a value that keeps the classes in order before the first measurement.
+    #[must_use]
+    pub fn run_of(&self, class: Class) -> Duration {
+        self.run.get(&class).copied().unwrap_or(match class {
+            Class::Urgent => Duration::from_millis(10),
+            Class::Batch => Duration::from_millis(100),
+            Class::Heavy => Duration::from_secs(1),
+        })
+    }
+
     /// Slots held by all classes.
     #[must_use]
     pub fn held_total(&self) -> u32 {
--- /dev/null
+++ b/yuccahoist/src/dispatch/shares.rs
@@ -0,0 +1,273 @@
+//! Class shares with lending, and deficit round robin over the teams of a class.
+//!
+//! Classes are ordered by measured run time. A class may use its own guaranteed slots and those of every class that
+//! runs at least as long. This is kept by one rule: for each class, all classes that run at least as long together hold
+//! at most the sum of their guaranteed slots. Lent slots therefore come back within a shorter run time than the lender's
+//! own, and long work never takes the slots of short work.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::dispatch::ewma::Ewma;
+use crate::dispatch::line::Line;
+use crate::dispatch::{DispatchLimits, ForwardId, Full, QueueItem, QueuePolicy, SlotView};
+use crate::id::{ServiceId, TeamId};
+use crate::request::Class;
+
+/// Rounds over the teams in which a pop looks for a request that may start.
+const ROUNDS: usize = 4; // one round suffices unless no request fits; the quantum covers the longest cost
+
+/// Guaranteed slots per class with lending; the policy of the product.
+#[derive(Debug, Default)]
+pub struct ClassShares {
+    queues: BTreeMap<Class, ClassQueue>,
+    places: BTreeMap<ForwardId, (Class, TeamId)>,
+    shares: BTreeMap<Class, f64>,
+    limits: BTreeMap<Class, usize>,
+    weights: BTreeMap<TeamId, u32>,
+}
+
+/// Teams of one class.
+#[derive(Debug, Default)]
+struct ClassQueue {
+    teams: BTreeMap<TeamId, TeamLine>,
+    active: VecDeque<TeamId>,
+    costs: BTreeMap<TeamId, Ewma>,
+    len: usize,
+}
+
+/// Requests of one team with its credit.
+#[derive(Debug, Default)]
+struct TeamLine {
+    line: Line,
+    /// Credit, seconds of run time.
+    deficit: f64,
+    /// Whether it has got the credit of its current visit.
+    visited: bool,
+}
+
+impl ClassQueue {
+    fn cost(&self, team: &TeamId) -> f64 {
+        let own = self.costs.get(team).and_then(Ewma::mean);
+        own.unwrap_or_else(|| self.longest_cost()).max(f64::EPSILON)
+    }
+
+    fn longest_cost(&self) -> f64 {
+        self.costs.values().filter_map(Ewma::mean).fold(0.0, f64::max)
+    }
+
+    fn line(&mut self, team: &TeamId) -> &mut Line {
+        if !self.teams.contains_key(team) {
+            self.active.push_back(team.clone());
+        }
+        self.len += 1;
+        &mut self.teams.entry(team.clone()).or_default().line
+    }
+
+    fn forget_if_empty(&mut self, team: &TeamId) {
+        if self.teams.get(team).is_some_and(|entry| entry.line.is_empty()) {
+            self.teams.remove(team);
+            self.active.retain(|other| other != team);
+        }
+    }
+
+    fn remove(&mut self, team: &TeamId, forward: ForwardId) -> Option<QueueItem> {
+        let item = self.teams.get_mut(team)?.line.remove(forward)?;
+        self.len -= 1;
+        self.forget_if_empty(team);
+        Some(item)
+    }
+
+    fn pop(
+        &mut self,
+        weights: &BTreeMap<TeamId, u32>,
+        fits: &dyn Fn(&ServiceId) -> bool,
+    ) -> Option<QueueItem> {
+        let lowest = self.active.iter().map(|team| weight(weights, team)).fold(f64::MAX, f64::min);
+        let quantum = self.longest_cost().max(f64::EPSILON) / lowest;
+        for _ in 0..self.active.len() * ROUNDS {
+            let team = self.active.front()?.clone();
+            let cost = self.cost(&team);
+            let credit = quantum * weight(weights, &team);
+            let entry = self.teams.get_mut(&team)?;
+            if !entry.visited {
+                entry.visited = true;
+                // A team whose requests do not fit now must not save up credit for a burst.
+                entry.deficit = (entry.deficit + credit).min(2.0 * credit);
+            }
+            let forward = entry.line.first_fit(fits);
+            if let Some(forward) = forward.filter(|_| entry.deficit >= cost) {
+                entry.deficit -= cost;
+                return self.remove(&team, forward);
+            }
+            entry.visited = false;
+            self.active.rotate_left(1);
+        }
+        None
+    }
+
+    /// Requests that start before one of a team that arrives now.
+    fn ahead(&self, team: &TeamId, weights: &BTreeMap<TeamId, u32>) -> f64 {
+        let own = self.teams.get(team).map_or(0, |entry| entry.line.len());
+        let others = self.active.iter().filter(|other| *other != team).map(|other| weight(weights, other));
+        let share = weight(weights, team) / (others.sum::<f64>() + weight(weights, team));
+        ((own + 1) as f64 / share - 1.0).min(self.len as f64)
+    }
+
+    /// Team with the longest line for its weight, and its length by weight.
+    fn longest_line(&self, weights: &BTreeMap<TeamId, u32>) -> Option<(TeamId, f64)> {
+        let lines = self.teams.iter();
+        let by_weight = lines.map(|(team, entry)| (team, entry.line.len() as f64 / weight(weights, team)));
+        by_weight.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(team, length)| (team.clone(), length))
+    }
+}
+
+fn weight(weights: &BTreeMap<TeamId, u32>, team: &TeamId) -> f64 {
+    f64::from(weights.get(team).copied().unwrap_or(1).max(1))
+}
+
+impl ClassShares {
+    /// Guaranteed slots of a class; at least one where there are slots for all classes, so that none starves.
+    fn guaranteed(&self, class: Class, capacity: u32) -> u32 {
+        let share = self.shares.get(&class).copied().unwrap_or(0.0).clamp(0.0, 1.0);
+        let slots = (share * f64::from(capacity) + 1e-9).floor() as u32;
+        let least = u32::from(capacity as usize >= Class::ALL.len());
+        slots.max(least).min(capacity)
+    }
+
+    /// Slots that no class is guaranteed; every class may use them.
+    fn spare(&self, capacity: u32) -> u32 {
+        let guaranteed: u32 = Class::ALL.iter().map(|class| self.guaranteed(*class, capacity)).sum();
+        capacity.saturating_sub(guaranteed)
+    }
+
+    /// Slots that a class may still take under every limit of the lending rule.
+    fn lendable(&self, class: Class, view: &SlotView) -> u32 {
+        let own = run_rank(class, view);
+        let bounds = Class::ALL.iter().map(|bound| run_rank(*bound, view)).filter(|rank| *rank <= own);
+        let room = bounds.map(|rank| {
+            let longer = || Class::ALL.into_iter().filter(|other| run_rank(*other, view) >= rank);
+            let allowed: u32 = longer().map(|other| self.guaranteed(other, view.capacity)).sum();
+            let held: u32 = longer().map(|other| view.held.get(&other).copied().unwrap_or(0)).sum();
+            (allowed + self.spare(view.capacity)).min(view.capacity).saturating_sub(held)
+        });
+        room.min().unwrap_or(0)
+    }
+
+    /// Classes in the order in which a free slot is offered: those below their guarantee first, then borrowers.
+    fn order(&self, view: &SlotView) -> [Class; 3] {
+        let mut classes = Class::ALL;
+        classes.sort_by_key(|class| {
+            let held = view.held.get(class).copied().unwrap_or(0);
+            (held >= self.guaranteed(*class, view.capacity), *class)
+        });
+        classes
+    }
+}
+
+/// Run time that decides who lends to whom.
+fn run_rank(class: Class, view: &SlotView) -> Duration {
+    let run = view.run_of(class);
+    match class {
+        // Heavy requests that fail at once look short; they still never borrow from urgent ones.
+        Class::Heavy => run.max(view.run_of(Class::Urgent) + Duration::from_micros(1)),
+        _ => run,
+    }
+}
+
+impl QueuePolicy for ClassShares {
+    fn name(&self) -> &'static str {
+        "class-shares"
+    }
+
+    fn empty(&self) -> Box<dyn QueuePolicy> {
+        Box::new(Self {
+            shares: self.shares.clone(),
+            limits: self.limits.clone(),
+            weights: self.weights.clone(),
+            ..Self::default()
+        })
+    }
+
+    fn set_limits(&mut self, limits: &DispatchLimits) {
+        self.shares = limits.classes.iter().map(|(class, limit)| (*class, limit.share)).collect();
+        self.limits = limits.classes.iter().map(|(class, limit)| (*class, limit.queue)).collect();
+        self.weights = limits.teams.clone();
+    }
+
+    fn push(&mut self, item: QueueItem) -> Result<Option<QueueItem>, Full> {
+        let limit = self.limits.get(&item.class).copied().unwrap_or(0);
+        let queue = self.queues.entry(item.class).or_default();
+        let mut evicted = None;
+        if queue.len >= limit {
+            let (longest, length) = queue.longest_line(&self.weights).ok_or(Full::Class)?;
+            let own = queue.teams.get(&item.team).map_or(0, |entry| entry.line.len());
+            if longest == item.team || (own + 1) as f64 / weight(&self.weights, &item.team) >= length {
+                return Err(if queue.teams.len() > 1 { Full::Team } else { Full::Class });
+            }
+            let victim = queue.teams.get_mut(&longest).and_then(|entry| entry.line.pop_back());
+            let victim = victim.ok_or(Full::Class)?;
+            queue.len -= 1;
+            queue.forget_if_empty(&longest);
+            self.places.remove(&victim.forward);
+            evicted = Some(victim);
+        }
+        self.places.insert(item.forward, (item.class, item.team.clone()));
+        let team = item.team.clone();
+        queue.line(&team).push_back(item);
+        Ok(evicted)
+    }
+
+    fn restore(&mut self, item: QueueItem) {
+        self.places.insert(item.forward, (item.class, item.team.clone()));
+        let team = item.team.clone();
+        self.queues.entry(item.class).or_default().line(&team).push_front(item);
+    }
+
+    fn remove(&mut self, forward: ForwardId) -> Option<QueueItem> {
+        let (class, team) = self.places.remove(&forward)?;
+        self.queues.get_mut(&class)?.remove(&team, forward)
+    }
+
+    fn pop(&mut self, view: &SlotView, fits: &dyn Fn(&ServiceId) -> bool) -> Option<QueueItem> {
+        for class in self.order(view) {
+            if self.lendable(class, view) == 0 {
+                continue;
+            }
+            let Some(queue) = self.queues.get_mut(&class) else { continue };
+            if let Some(item) = queue.pop(&self.weights, fits) {
+                self.places.remove(&item.forward);
+                return Some(item);
+            }
+        }
+        None
+    }
+
+    fn room(&self, class: Class, view: &SlotView) -> u32 {
+        self.lendable(class, view)
+    }
+
+    fn wait(&self, class: Class, team: Option<&TeamId>, view: &SlotView) -> Duration {
+        let queue = self.queues.get(&class);
+        let len = queue.map_or(0, |queue| queue.len);
+        if len == 0 && self.lendable(class, view) > 0 {
+            return Duration::ZERO;
+        }
+        let ahead = match (queue, team) {
+            (Some(queue), Some(team)) => queue.ahead(team, &self.weights),
+            _ => len as f64,
+        };
+        let held = view.held.get(&class).copied().unwrap_or(0);
+        let slots = self.guaranteed(class, view.capacity).max(held).max(1);
+        view.run_of(class).mul_f64((ahead + 1.0) / f64::from(slots))
+    }
+
+    fn len(&self) -> usize {
+        self.queues.values().map(|queue| queue.len).sum()
+    }
+
+    fn measured(&mut self, class: Class, team: &TeamId, run: Duration) {
+        let queue = self.queues.entry(class).or_default();
+        queue.costs.entry(team.clone()).or_default().add(run.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/dispatch/worker.rs
@@ -0,0 +1,116 @@
+//! Slots and health of one worker.
+
+use std::time::Duration;
+
+use crate::dispatch::BackendSpec;
+use crate::dispatch::ewma::Ewma;
+use crate::id::ServiceId;
+use crate::ownership::Share;
+use crate::request::Class;
+use crate::unit::Timestamp;
+
+/// Failures in a row after which a worker is avoided.
+const FAILURE_LIMIT: u32 = 3;
+
+/// First time for which a failing worker is avoided; doubles with each further failure.
+const AVOID_MIN: Duration = Duration::from_secs(1);
+
+/// Longest time for which a failing worker is avoided.
+const AVOID_MAX: Duration = Duration::from_secs(30);
+
+/// Run time compared with the mean of the class above which a worker counts as slow.
+const SLOW_RATIO: f64 = 2.5;
+
+/// Samples before a worker can count as slow.
+const SLOW_SAMPLES: u32 = 8;
+
+/// Time without a sample after which a slow worker is tried again.
+const SLOW_FORGET: Duration = Duration::from_secs(5);
+
+/// Slot table entry of one worker.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) spec: BackendSpec,
+    /// Whether it is in the current configuration.
+    pub(super) present: bool,
+    /// Slots held per class.
+    pub(super) held: [u32; 3],
+    ratio: Ewma,
+    sampled: Timestamp,
+    failures: u32,
+    avoid: Timestamp,
+}
+
+impl Worker {
+    pub(super) fn new(spec: BackendSpec) -> Self {
+        Self {
+            spec,
+            present: true,
+            held: [0; 3],
+            ratio: Ewma::default(),
+            sampled: Timestamp::ZERO,
+            failures: 0,
+            avoid: Timestamp::ZERO,
+        }
+    }
+
+    pub(super) fn used(&self) -> u32 {
+        self.held.iter().sum()
+    }
+
+    /// Requests that may be in progress under a share; each takes a slot and a connection.
+    pub(super) fn capacity(&self, share: Share) -> u32 {
+        let part = |whole: u32| match share {
+            Share::Nothing => 0,
+            Share::Reduced => whole / 2,
+            Share::Remainder => whole - whole / 2,
+            Share::Full => whole,
+        };
+        part(self.spec.slots.0).min(part(self.spec.connections.0))
+    }
+
+    pub(super) fn free(&self, share: Share) -> u32 {
+        self.capacity(share).saturating_sub(self.used())
+    }
+
+    pub(super) fn offers(&self, service: &ServiceId) -> bool {
+        self.spec.services.contains(service)
+    }
+
+    pub(super) fn hold(&mut self, class: Class) {
+        self.held[class as usize] += 1;
+    }
+
+    pub(super) fn release(&mut self, class: Class) {
+        let held = &mut self.held[class as usize];
+        *held = held.saturating_sub(1);
+    }
+
+    pub(super) fn failing(&self, now: Timestamp) -> bool {
+        now < self.avoid
+    }
+
+    pub(super) fn slow(&self, now: Timestamp) -> bool {
+        let recent = now.since(self.sampled) < SLOW_FORGET;
+        let ratio = self.ratio.mean().unwrap_or(1.0);
+        recent && self.ratio.samples() >= SLOW_SAMPLES && ratio > SLOW_RATIO
+    }
+
+    /// Records a run time as a multiple of the class mean.
+    pub(super) fn ran(&mut self, now: Timestamp, ratio: f64) {
+        if now.since(self.sampled) >= SLOW_FORGET {
+            self.ratio = Ewma::default();
+        }
+        self.sampled = now;
+        self.ratio.add(ratio);
+        self.failures = 0;
+    }
+
+    pub(super) fn failed(&mut self, now: Timestamp) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILURE_LIMIT {
+            let doublings = (self.failures - FAILURE_LIMIT).min(8);
+            self.avoid = now + (AVOID_MIN * (1 << doublings)).min(AVOID_MAX);
+        }
+    }
+}
