--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod event;
 pub mod front;
 pub mod id;
+pub mod intent;
 pub mod job;
 pub mod membership;
 pub mod ownership;
