--- a/yuccahoist/src/job/fold.rs
+++ b/yuccahoist/src/job/fold.rs
@@ -13,8 +13,8 @@
 
 /// Records after which a finished job is forgotten; about a day at 4 records a second and 9 coordinators.
 pub const FORGET_AFTER: u64 = 3_000_000;
-/// Finished jobs that are kept at most; more than three days at 5,700 jobs a day.
-pub const FINISHED_LIMIT: usize = 20_000;
+/// Finished jobs that are kept at most; two days at 5,700 jobs a day.
+pub const FINISHED_LIMIT: usize = 12_000;
 
 /// Job in the fold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,17 +119,24 @@
                 }
                 changed
             }
-            JobRecord::Finished { job, end } => {
-                let Some(state) = self.active(job) else { return false };
-                state.end = Some((offset, end.clone()));
-                state.done.clear();
-                self.finished.insert((offset, job.clone()));
-                true
+            JobRecord::Finished { job, end } => self.finish(offset, job, end),
+            JobRecord::Ended { jobs } => {
+                let ended = jobs.iter().filter(|(job, end)| self.finish(offset, job, end)).count();
+                ended > 0
             }
+            JobRecord::Mark { .. } => true,
             JobRecord::Snapshot(_) => false,
         }
     }
 
+    fn finish(&mut self, offset: Offset, job: &JobId, end: &JobEnd) -> bool {
+        let Some(state) = self.active(job) else { return false };
+        state.end = Some((offset, end.clone()));
+        state.done.clear();
+        self.finished.insert((offset, job.clone()));
+        true
+    }
+
     fn active(&mut self, job: &JobId) -> Option<&mut JobState> {
         self.jobs.get_mut(job).filter(|state| state.end.is_none())
     }
@@ -170,7 +177,7 @@
 
     fn restore(&mut self, record: JobRecord, out: &mut Vec<JobRecord>) {
         let JobRecord::Snapshot(snapshot) = record else { return };
-        self.jobs = snapshot.jobs.clone();
+        self.jobs.clone_from(&snapshot.jobs);
         self.finished =
             self.jobs.iter().filter_map(|(id, job)| Some((job.end.as_ref()?.0, id.clone()))).collect();
         out.push(JobRecord::Snapshot(snapshot));
--- a/yuccahoist/src/job/message.rs
+++ b/yuccahoist/src/job/message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{
-    Attempt, Epoch, Incarnation, JobId, PartitionId, ShardId, TaskId, TaskIndex, TeamId, WorkerId,
+    Attempt, Epoch, Incarnation, JobId, PartitionId, ShardId, TaskId, TaskIndex, TeamId, WorkerId, ZoneId,
 };
 use crate::ownership::Grant;
 use crate::unit::Resources;
@@ -89,6 +89,18 @@
         /// How it ended.
         end: JobEnd,
     },
+    /// Several jobs ended, as after a wave of cancellations.
+    Ended {
+        /// How each job ended.
+        jobs: BTreeMap<JobId, JobEnd>,
+    },
+    /// Mark of a coordinator that has to know that it has read all earlier records.
+    Mark {
+        /// Process start of the coordinator.
+        by: Incarnation,
+        /// Number of the mark, rising per process start.
+        number: u64,
+    },
     /// State after all records up to `through`.
     Snapshot(Box<super::JobSnapshot>),
 }
@@ -240,6 +252,11 @@
     },
     /// Task changed its state.
     Changed(TaskReport),
+    /// Attempts that do not run on the shard and never will.
+    Absent {
+        /// Tasks and attempts.
+        tasks: Vec<(TaskId, Attempt)>,
+    },
 }
 
 /// State of a task on a worker.
@@ -326,6 +343,24 @@
     StaleCoordinator,
 }
 
+impl fmt::Display for WaitReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoRoom => "no worker has room now",
+            Self::LargerThanWorkers => "task or gang is larger than the workers; it can never run",
+            Self::Quota => "quota of the team is used up",
+            Self::LargerThanQuota => "task or gang exceeds the team's quota; it can never run",
+            Self::GangIncomplete => "not all tasks of the gang have room at once",
+            Self::NoOwner => "no shard owner may start tasks now",
+            Self::Recovering => "coordinator waits for inventories after a takeover",
+            Self::EarlierAttempt => "an earlier attempt may still run",
+            Self::Suspended => "suspended: its tasks fail on several workers",
+            Self::ReservationExpired => "reservation is unknown or has expired",
+            Self::StaleCoordinator => "coordinator was replaced",
+        })
+    }
+}
+
 /// What the coordinator duty reacts to.
 #[derive(Debug, Clone)]
 pub enum CoordinatorEvent {
@@ -384,6 +419,8 @@
     pub services: BTreeMap<JobId, JobSpec>,
     /// Existing shards.
     pub shards: BTreeSet<ShardId>,
+    /// Zone of each shard, to spread services; a shard without an entry counts as a zone of its own.
+    pub zones: BTreeMap<ShardId, ZoneId>,
 }
 
 /// What the coordinator duty asks for.
