Add daemon settings, the table of worker addresses and the daemon's signatures

The parts that assemble hosts need the start and stop interface before its implementation exists. Settings are one JSON file per section, and all errors are reported at once. HostAction::Workers carries worker addresses from the configuration to the platform clients.

--- a/yuccahoist/src/event.rs
+++ b/yuccahoist/src/event.rs
@@ -19,7 +19,7 @@
 use crate::ownership::Share;
 use crate::peer::PeerMessage;
 use crate::placement::{Inventory, PlacementDecision, WorkerCommand};
-use crate::platform::{CallError, DispatchBounds, HostState, ReadBatch};
+use crate::platform::{CallError, DispatchBounds, HostState, ReadBatch, WorkerAddress};
 use crate::request::{Answer, Outcome, Request};
 use crate::stream::StreamName;
 use crate::unit::{Timestamp, WallTime};
@@ -199,6 +199,8 @@
         /// Last time at which it may be sent.
         until: Timestamp,
     },
+    /// Replace the addresses of workers, by configuration.
+    Workers(BTreeMap<WorkerId, WorkerAddress>),
     /// Write a log line.
     Decision(HostDecision),
     /// Planned stop is complete: nothing is in progress and all leases are released.
--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`duty::Duty`]); actors and sockets wrap it.
 
 pub mod clock;
+pub mod daemon;
 pub mod dispatch;
 pub mod duty;
 pub mod event;
@@ -15,5 +16,6 @@
 pub mod placement;
 pub mod platform;
 pub mod request;
+pub mod settings;
 pub mod stream;
 pub mod unit;
--- a/yuccahoist/src/platform/mod.rs
+++ b/yuccahoist/src/platform/mod.rs
@@ -3,6 +3,8 @@
 //! The platform gives a log service, workers that run tasks, backend servers and a host list. Each is a trait object
 //! here, so that the product runs against the published HTTP interfaces and tests run against fakes.
 
+mod table;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -18,6 +20,8 @@
 use crate::stream::StreamName;
 use crate::unit::WallTime;
 
+pub use self::table::{WorkerAddress, WorkerTable};
+
 /// Records read from a stream.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ReadBatch {
