--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod daemon;
 pub mod dispatch;
 pub mod duty;
 pub mod event;
@@ -20,5 +21,6 @@
 pub mod placement;
 pub mod platform;
 pub mod request;
+pub mod settings;
 pub mod stream;
 pub mod unit;
