Compose the duties into the host state machine

Host takes what the I/O tasks report and returns what they have to do. Work for a duty of the same host is queued and handled in the same call.

--- a/yuccahoist/src/config/cell.rs
+++ b/yuccahoist/src/config/cell.rs
@@ -114,7 +114,8 @@
     pub fn coordinator_settings(&self) -> CoordinatorSettings {
         let quotas = self.teams.iter().map(|(id, team)| (id.clone(), team.quota)).collect();
         let services = self.services.values().map(|s| (s.spec.id.clone(), s.spec.clone())).collect();
-        CoordinatorSettings { quotas, services, shards: self.racks.keys().cloned().collect() }
+        let zones = self.racks.iter().map(|(id, rack)| (id.clone(), rack.zone.clone())).collect();
+        CoordinatorSettings { quotas, services, shards: self.racks.keys().cloned().collect(), zones }
     }
 
     fn services_of(&self, shard: &ShardId) -> Vec<ServiceId> {
--- /dev/null
+++ b/yuccahoist/src/host/control.rs
@@ -0,0 +1,268 @@
+//! Ownership, membership, verdicts, configuration and the planned stop.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::Host;
+use super::step::Step;
+use crate::config::{CellConfig, VerdictAction, VerdictEvent};
+use crate::dispatch::DispatchEvent;
+use crate::duty::Duty;
+use crate::event::HostAction;
+use crate::front::FrontEvent;
+use crate::id::{Epoch, Incarnation, PartitionId, ShardId, Subject, WorkerId};
+use crate::job::{CoordinatorEvent, partition_of};
+use crate::membership::{MembershipAction, MembershipEvent};
+use crate::ownership::{Grant, OwnershipAction, OwnershipEvent};
+use crate::peer::PeerMessage;
+use crate::placement::PlacementEvent;
+use crate::platform::{HostState, WorkerAddress};
+use crate::unit::Timestamp;
+
+/// Partition whose owner decides on configuration edits.
+const VERDICT_PARTITION: Subject = Subject::Partition(PartitionId(0));
+
+/// Time after which a stop that cannot reach the log ends without releasing its leases, which then lapse.
+const STOP_WITHOUT_LOG: Duration = Duration::from_secs(10);
+
+/// Lease that is ending.
+#[derive(Debug)]
+pub(super) struct Closing {
+    /// Shard whose worker commands must have ended; none for a partition.
+    shard: Option<ShardId>,
+    /// Whether requests are still in progress.
+    requests: bool,
+}
+
+impl Host {
+    pub(super) fn own(
+        &mut self,
+        now: Timestamp,
+        event: OwnershipEvent,
+        rng: &mut dyn Rng,
+        out: &mut Vec<HostAction>,
+    ) {
+        let mut actions = Vec::new();
+        self.ownership.handle(now, event, rng, &mut actions);
+        for action in actions {
+            match action {
+                OwnershipAction::Append { ticket, record } => self.append_cell(now, ticket, record, rng, out),
+                OwnershipAction::Send { to, message } => {
+                    self.send(to, PeerMessage::Ownership(message), None, out);
+                }
+                OwnershipAction::Grant(grant) => self.granted(grant, out),
+                OwnershipAction::Lost { subject, epoch } => self.lost(subject, epoch, out),
+                OwnershipAction::Owner { subject, owner } => self.owner(subject, owner),
+                OwnershipAction::View(members) => {
+                    self.peers.set_view(&members);
+                    self.steps.push_back(Step::Membership(MembershipEvent::View(members)));
+                }
+            }
+        }
+    }
+
+    fn granted(&mut self, grant: Grant, out: &mut Vec<HostAction>) {
+        let before = self.grants.insert(grant.subject.clone(), grant.clone());
+        if before.as_ref().is_none_or(|old| old.epoch != grant.epoch || old.share != grant.share) {
+            let text =
+                format!("{} is owned in epoch {} with share {:?}", grant.subject, grant.epoch, grant.share);
+            self.control(text, out);
+        }
+        if grant.subject == VERDICT_PARTITION {
+            self.steps.push_back(Step::Verdict(VerdictEvent::Holder(true)));
+        }
+        match grant.subject.clone() {
+            Subject::Shard(shard) => {
+                let event = DispatchEvent::Granted { shard: shard.clone(), grant: grant.clone() };
+                self.steps.push_back(Step::Dispatch(event));
+                self.steps.push_back(Step::Placement(PlacementEvent::Granted { shard, grant }));
+            }
+            Subject::Partition(partition) => {
+                self.steps.push_back(Step::Coordinator(CoordinatorEvent::Granted { partition, grant }));
+            }
+        }
+    }
+
+    fn lost(&mut self, subject: Subject, epoch: Epoch, out: &mut Vec<HostAction>) {
+        self.control(format!("{subject} is no longer owned in epoch {epoch}"), out);
+        if self.grants.get(&subject).is_some_and(|grant| grant.epoch == epoch) {
+            self.grants.remove(&subject);
+            if subject == VERDICT_PARTITION {
+                self.steps.push_back(Step::Verdict(VerdictEvent::Holder(false)));
+            }
+        }
+        match subject {
+            Subject::Shard(shard) => {
+                self.closing.insert(epoch, Closing { shard: Some(shard.clone()), requests: true });
+                self.steps.push_back(Step::Dispatch(DispatchEvent::Lost { shard: shard.clone(), epoch }));
+                self.steps.push_back(Step::Placement(PlacementEvent::Lost { shard, epoch }));
+            }
+            Subject::Partition(partition) => {
+                self.steps.push_back(Step::Coordinator(CoordinatorEvent::Lost { partition, epoch }));
+                self.steps.push_back(Step::Ownership(OwnershipEvent::Quiescent { epochs: vec![epoch] }));
+            }
+        }
+    }
+
+    /// Notes that no request of an epoch is in progress any more.
+    pub(super) fn requests_ended(&mut self, epoch: Epoch) {
+        if let Some(closing) = self.closing.get_mut(&epoch) {
+            closing.requests = false;
+        }
+        self.close_epochs();
+    }
+
+    /// Reports epochs under which neither requests nor worker commands are in progress.
+    pub(super) fn close_epochs(&mut self) {
+        let busy: BTreeSet<&ShardId> = self.commands.values().collect();
+        let ended = |closing: &Closing| {
+            !closing.requests && closing.shard.as_ref().is_none_or(|shard| !busy.contains(shard))
+        };
+        let epochs: Vec<Epoch> =
+            self.closing.iter().filter(|(_, closing)| ended(closing)).map(|(epoch, _)| *epoch).collect();
+        if epochs.is_empty() {
+            return;
+        }
+        self.closing.retain(|epoch, _| !epochs.contains(epoch));
+        self.steps.push_back(Step::Ownership(OwnershipEvent::Quiescent { epochs }));
+    }
+
+    fn owner(&mut self, subject: Subject, owner: Option<(Incarnation, Epoch)>) {
+        if let Subject::Shard(shard) = subject {
+            self.steps.push_back(Step::Front(FrontEvent::Owner { shard: shard.clone(), owner }));
+            self.steps.push_back(Step::Coordinator(CoordinatorEvent::Owner { shard, owner }));
+        }
+        // Status queries about jobs go to the owner of the partition, which the fold knows.
+    }
+
+    pub(super) fn member_event(
+        &mut self,
+        now: Timestamp,
+        event: MembershipEvent,
+        rng: &mut dyn Rng,
+        out: &mut Vec<HostAction>,
+    ) {
+        let mut actions = Vec::new();
+        self.membership.handle(now, event, rng, &mut actions);
+        for action in actions {
+            match action {
+                MembershipAction::SendHeartbeat { to } => {
+                    let heartbeat = self.heartbeat();
+                    for peer in to {
+                        self.send(peer, PeerMessage::Heartbeat(heartbeat.clone()), None, out);
+                    }
+                }
+                MembershipAction::Suspected { incarnation, suspected } => {
+                    self.suspected(incarnation, suspected);
+                }
+                // A leaving member still serves what it owns until its leases are released.
+                MembershipAction::Leaving { .. } => {}
+            }
+        }
+    }
+
+    fn suspected(&mut self, incarnation: Incarnation, suspected: bool) {
+        self.steps.push_back(Step::Ownership(OwnershipEvent::Suspected { incarnation, suspected }));
+        self.steps.push_back(Step::Front(FrontEvent::Suspected { incarnation, suspected }));
+        if suspected {
+            self.steps.push_back(Step::Dispatch(DispatchEvent::FrontLost { front: incarnation }));
+        }
+    }
+
+    pub(super) fn verdict(
+        &mut self,
+        now: Timestamp,
+        event: VerdictEvent,
+        rng: &mut dyn Rng,
+        out: &mut Vec<HostAction>,
+    ) {
+        let mut actions = Vec::new();
+        self.verdicts.handle(now, event, rng, &mut actions);
+        for VerdictAction::Decide { edit } in actions {
+            self.append_verdict(now, edit, rng, out);
+        }
+    }
+
+    /// Puts the configuration of this host's site into all duties.
+    pub(super) fn apply_config(&mut self, out: &mut Vec<HostAction>) {
+        let config = match self.streams.config.fold().effective(&self.member.site) {
+            Ok(config) => config,
+            Err(errors) => {
+                let errors: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                let text =
+                    format!("configuration is not usable here and was kept as it was: {}", errors.join("; "));
+                self.control(text, out);
+                return;
+            }
+        };
+        self.streams.intents.fold_mut().set_limits(config.limits.id_window, config.limits.clock_skew);
+        self.shards = shards(&config);
+        out.push(HostAction::Workers(addresses(&config)));
+        let partitions = config.teams.keys().map(|team| (team.clone(), partition_of(team))).collect();
+        self.steps.extend([
+            Step::Ownership(OwnershipEvent::RunLimit(config.cell_run_limit)),
+            Step::Ownership(OwnershipEvent::Subjects(config.subjects())),
+            Step::Dispatch(DispatchEvent::Limits(config.dispatch_limits())),
+            Step::Dispatch(DispatchEvent::Backends(config.backends())),
+            Step::Placement(PlacementEvent::Workers(config.worker_specs())),
+            Step::Placement(PlacementEvent::Partitions(partitions)),
+            Step::Coordinator(CoordinatorEvent::Settings(config.coordinator_settings())),
+            Step::Front(FrontEvent::Limits(config.front_limits())),
+        ]);
+        self.config = Some(config);
+    }
+
+    pub(super) fn hosts(&mut self, hosts: BTreeMap<String, HostState>) {
+        let leaving: BTreeSet<WorkerId> = hosts
+            .iter()
+            .filter(|(_, state)| **state == HostState::Leaving)
+            .filter_map(|(name, _)| name.parse().ok())
+            .filter(|worker| self.shards.contains_key(worker))
+            .collect();
+        let changed: Vec<WorkerId> = leaving.symmetric_difference(&self.draining).cloned().collect();
+        for worker in changed {
+            let draining = leaving.contains(&worker);
+            let event = DispatchEvent::Draining { worker: worker.clone(), draining };
+            self.steps.push_back(Step::Dispatch(event));
+            self.steps.push_back(Step::Placement(PlacementEvent::Draining { worker, draining }));
+        }
+        self.draining = leaving;
+        self.steps.push_back(Step::Membership(MembershipEvent::Hosts(hosts)));
+    }
+
+    pub(super) fn begin_stop(&mut self, now: Timestamp) {
+        if self.stop.is_some() {
+            return;
+        }
+        self.stop = Some(now);
+        self.steps.push_back(Step::Front(FrontEvent::Stop));
+        self.steps.push_back(Step::Dispatch(DispatchEvent::Stop));
+        self.steps.push_back(Step::Ownership(OwnershipEvent::Stop));
+    }
+
+    pub(super) fn finish_stop(&mut self, now: Timestamp, out: &mut Vec<HostAction>) {
+        let Some(since) = self.stop else { return };
+        if self.stopped || !self.front.is_idle() || !self.dispatcher.is_idle() || !self.job_calls.is_idle() {
+            return;
+        }
+        let left = !self.peers.in_view(self.incarnation()) && self.streams.cell.pending() == 0;
+        let given_up = now.since(since) >= STOP_WITHOUT_LOG && !self.streams.cell.available();
+        if left || given_up {
+            self.stopped = true;
+            out.push(HostAction::Stopped);
+        }
+    }
+}
+
+fn shards(config: &CellConfig) -> BTreeMap<WorkerId, ShardId> {
+    config.workers().map(|(shard, _, worker)| (worker.worker.clone(), shard.clone())).collect()
+}
+
+fn addresses(config: &CellConfig) -> BTreeMap<WorkerId, WorkerAddress> {
+    config
+        .workers()
+        .map(|(_, _, w)| (w.worker.clone(), WorkerAddress { backend: w.backend, agent: w.agent }))
+        .collect()
+}
--- /dev/null
+++ b/yuccahoist/src/host/step.rs
@@ -0,0 +1,46 @@
+//! Work that is handled within one call of the host state machine.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::config::VerdictEvent;
+use crate::dispatch::{DispatchEvent, ForwardId};
+use crate::event::JobCall;
+use crate::front::{CallId, FrontEvent};
+use crate::id::{Incarnation, Offset, Sequence, WorkerId};
+use crate::job::CoordinatorEvent;
+use crate::membership::MembershipEvent;
+use crate::ownership::OwnershipEvent;
+use crate::peer::PeerMessage;
+use crate::placement::{Inventory, PlacementEvent};
+use crate::platform::{CallError, HostState, ReadBatch};
+use crate::request::Answer;
+use crate::stream::StreamName;
+use crate::unit::Timestamp;
+
+/// Event for one of the duties, or a call of the host itself.
+#[derive(Debug)]
+pub(super) enum Step {
+    Tick,
+    Stop,
+    Hosts(BTreeMap<String, HostState>),
+    Read { stream: StreamName, asked: Timestamp, result: Result<ReadBatch, CallError> },
+    Appended { stream: StreamName, seq: Sequence, result: Result<Offset, CallError> },
+    StreamTick,
+    Restore { stream: StreamName, snapshot: Bytes },
+    Verdict(VerdictEvent),
+    Ownership(OwnershipEvent),
+    Membership(MembershipEvent),
+    Front(FrontEvent),
+    Dispatch(DispatchEvent),
+    Backend { forward: ForwardId, result: Result<Answer, CallError> },
+    Placement(PlacementEvent),
+    Worker { worker: WorkerId, ticket: u64, result: Result<Inventory, CallError> },
+    Coordinator(CoordinatorEvent),
+    JobCall { call: CallId, body: JobCall },
+    StatusCall { call: CallId },
+    Receive { from: Incarnation, message: PeerMessage },
+    NotSent { to: Incarnation, message: PeerMessage },
+    PeerLost { peer: Incarnation },
+}
--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod front;
 pub mod health;
+pub mod host;
 pub mod id;
 pub mod intent;
 pub mod job;
--- a/yuccahoist/src/peer/message.rs
+++ b/yuccahoist/src/peer/message.rs
@@ -1,12 +1,13 @@
 //! Messages between entry hosts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::dispatch::{ForwardId, LoadSummary};
-use crate::id::{Offset, RequestId, Revision, ShardId, SiteId};
-use crate::job::{ShardReply, ShardRequest};
+use crate::id::{HostId, JobId, Offset, RequestId, Revision, ShardId, SiteId};
+use crate::job::{JobStatus, ShardReply, ShardRequest};
 use crate::ownership::OwnershipMessage;
 use crate::request::{Outcome, Request};
 use crate::stream::StreamName;
@@ -78,11 +79,29 @@
         /// Snapshot record.
         snapshot: Vec<u8>,
     },
+    /// Asks the coordinator for the status of a job.
+    JobQuery {
+        /// Number that the answer refers to.
+        number: u64,
+        /// Job.
+        job: JobId,
+    },
+    /// Status of a job, if the sender knows it.
+    JobAnswer {
+        /// Number of the query.
+        number: u64,
+        /// Status.
+        status: Option<Box<JobStatus>>,
+    },
 }
 
 /// Sign of life with the configuration that is in force at the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
+    /// Sender, by its settings.
+    pub host: HostId,
+    /// Address of the sender for peers; a sender that is not a member is answered there.
+    pub address: SocketAddr,
     /// Site of the sender.
     pub site: SiteId,
     /// Revision in force.
--- a/yuccahoist/src/stream/client.rs
+++ b/yuccahoist/src/stream/client.rs
@@ -106,6 +106,11 @@
         &self.fold
     }
 
+    /// State, for inputs that do not come from the log, such as limits.
+    pub const fn fold_mut(&mut self) -> &mut F {
+        &mut self.fold
+    }
+
     /// Offset of the first record that is not folded.
     #[must_use]
     pub const fn next(&self) -> Offset {
