--- a/yuccahoist/src/host/control.rs
+++ b/yuccahoist/src/host/control.rs
@@ -3,10 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rand::Rng;
-
 use super::Host;
-use super::step::Step;
+use super::step::{Step, Turn};
 use crate::config::{CellConfig, VerdictAction, VerdictEvent};
 use crate::dispatch::DispatchEvent;
 use crate::duty::Duty;
@@ -37,23 +35,17 @@
 }
 
 impl Host {
-    pub(super) fn own(
-        &mut self,
-        now: Timestamp,
-        event: OwnershipEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn own(&mut self, event: OwnershipEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.ownership.handle(now, event, rng, &mut actions);
+        self.ownership.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
             match action {
-                OwnershipAction::Append { ticket, record } => self.append_cell(now, ticket, record, rng, out),
+                OwnershipAction::Append { ticket, record } => self.append_cell(ticket, record, turn),
                 OwnershipAction::Send { to, message } => {
-                    self.send(to, PeerMessage::Ownership(message), None, out);
+                    self.send(to, PeerMessage::Ownership(message), None, turn);
                 }
-                OwnershipAction::Grant(grant) => self.granted(grant, out),
-                OwnershipAction::Lost { subject, epoch } => self.lost(subject, epoch, out),
+                OwnershipAction::Grant(grant) => self.granted(grant, turn),
+                OwnershipAction::Lost { subject, epoch } => self.lost(subject, epoch, turn),
                 OwnershipAction::Owner { subject, owner } => self.owner(subject, owner),
                 OwnershipAction::View(members) => {
                     self.peers.set_view(&members);
@@ -63,12 +55,12 @@
         }
     }
 
-    fn granted(&mut self, grant: Grant, out: &mut Vec<HostAction>) {
+    fn granted(&mut self, grant: Grant, turn: &mut Turn<'_>) {
         let before = self.grants.insert(grant.subject.clone(), grant.clone());
         if before.as_ref().is_none_or(|old| old.epoch != grant.epoch || old.share != grant.share) {
             let text =
                 format!("{} is owned in epoch {} with share {:?}", grant.subject, grant.epoch, grant.share);
-            self.control(text, out);
+            self.control(text, turn);
         }
         if grant.subject == VERDICT_PARTITION {
             self.steps.push_back(Step::Verdict(VerdictEvent::Holder(true)));
@@ -85,8 +77,8 @@
         }
     }
 
-    fn lost(&mut self, subject: Subject, epoch: Epoch, out: &mut Vec<HostAction>) {
-        self.control(format!("{subject} is no longer owned in epoch {epoch}"), out);
+    fn lost(&mut self, subject: Subject, epoch: Epoch, turn: &mut Turn<'_>) {
+        self.control(format!("{subject} is no longer owned in epoch {epoch}"), turn);
         if self.grants.get(&subject).is_some_and(|grant| grant.epoch == epoch) {
             self.grants.remove(&subject);
             if subject == VERDICT_PARTITION {
@@ -137,21 +129,15 @@
         // Status queries about jobs go to the owner of the partition, which the fold knows.
     }
 
-    pub(super) fn member_event(
-        &mut self,
-        now: Timestamp,
-        event: MembershipEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn member_event(&mut self, event: MembershipEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.membership.handle(now, event, rng, &mut actions);
+        self.membership.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
             match action {
                 MembershipAction::SendHeartbeat { to } => {
                     let heartbeat = self.heartbeat();
                     for peer in to {
-                        self.send(peer, PeerMessage::Heartbeat(heartbeat.clone()), None, out);
+                        self.send(peer, PeerMessage::Heartbeat(heartbeat.clone()), None, turn);
                     }
                 }
                 MembershipAction::Suspected { incarnation, suspected } => {
@@ -171,35 +157,29 @@
         }
     }
 
-    pub(super) fn verdict(
-        &mut self,
-        now: Timestamp,
-        event: VerdictEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn verdict(&mut self, event: VerdictEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.verdicts.handle(now, event, rng, &mut actions);
+        self.verdicts.handle(turn.now, event, turn.rng, &mut actions);
         for VerdictAction::Decide { edit } in actions {
-            self.append_verdict(now, edit, rng, out);
+            self.append_verdict(edit, turn);
         }
     }
 
     /// Puts the configuration of this host's site into all duties.
-    pub(super) fn apply_config(&mut self, out: &mut Vec<HostAction>) {
+    pub(super) fn apply_config(&mut self, turn: &mut Turn<'_>) {
         let config = match self.streams.config.fold().effective(&self.member.site) {
             Ok(config) => config,
             Err(errors) => {
                 let errors: Vec<String> = errors.iter().map(ToString::to_string).collect();
                 let text =
                     format!("configuration is not usable here and was kept as it was: {}", errors.join("; "));
-                self.control(text, out);
+                self.control(text, turn);
                 return;
             }
         };
         self.streams.intents.fold_mut().set_limits(config.limits.id_window, config.limits.clock_skew);
         self.shards = shards(&config);
-        out.push(HostAction::Workers(addresses(&config)));
+        turn.out.push(HostAction::Workers(addresses(&config)));
         let partitions = config.teams.keys().map(|team| (team.clone(), partition_of(team))).collect();
         self.steps.extend([
             Step::Ownership(OwnershipEvent::RunLimit(config.cell_run_limit)),
@@ -242,16 +222,16 @@
         self.steps.push_back(Step::Ownership(OwnershipEvent::Stop));
     }
 
-    pub(super) fn finish_stop(&mut self, now: Timestamp, out: &mut Vec<HostAction>) {
+    pub(super) fn finish_stop(&mut self, turn: &mut Turn<'_>) {
         let Some(since) = self.stop else { return };
         if self.stopped || !self.front.is_idle() || !self.dispatcher.is_idle() || !self.job_calls.is_idle() {
             return;
         }
         let left = !self.peers.in_view(self.incarnation()) && self.streams.cell.pending() == 0;
-        let given_up = now.since(since) >= STOP_WITHOUT_LOG && !self.streams.cell.available();
+        let given_up = turn.now.since(since) >= STOP_WITHOUT_LOG && !self.streams.cell.available();
         if left || given_up {
             self.stopped = true;
-            out.push(HostAction::Stopped);
+            turn.out.push(HostAction::Stopped);
         }
     }
 }
--- a/yuccahoist/src/host/jobs.rs
+++ b/yuccahoist/src/host/jobs.rs
@@ -3,10 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rand::Rng;
-
 use super::Host;
-use super::step::Step;
+use super::step::{Step, Turn};
 use super::streams::JobTicket;
 use crate::config::CellConfig;
 use crate::duty::Duty;
@@ -59,40 +57,26 @@
 }
 
 impl Host {
-    pub(super) fn job_call(
-        &mut self,
-        now: Timestamp,
-        call: CallId,
-        body: JobCall,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn job_call(&mut self, call: CallId, body: JobCall, turn: &mut Turn<'_>) {
         match body {
-            JobCall::Submit(spec) => self.submit(now, call, spec, rng, out),
-            JobCall::Cancel(job) => self.cancel(now, call, job, rng, out),
-            JobCall::Status(job) => self.job_status(now, call, job, out),
+            JobCall::Submit(spec) => self.submit(call, spec, turn),
+            JobCall::Cancel(job) => self.cancel(call, job, turn),
+            JobCall::Status(job) => self.job_status(call, &job, turn),
         }
     }
 
-    fn submit(
-        &mut self,
-        now: Timestamp,
-        call: CallId,
-        spec: JobSpec,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    fn submit(&mut self, call: CallId, spec: JobSpec, turn: &mut Turn<'_>) {
         let errors = check(&spec, self.config.as_ref());
         if !errors.is_empty() {
-            out.push(HostAction::JobReply { call, reply: JobReply::Invalid(errors) });
+            turn.out.push(HostAction::JobReply { call, reply: JobReply::Invalid(errors) });
             return;
         }
         if let Some(reply) = self.known(&spec) {
-            out.push(HostAction::JobReply { call, reply });
+            turn.out.push(HostAction::JobReply { call, reply });
             return;
         }
         let record = JobRecord::Submitted(spec.clone());
-        self.append_call(now, call, JobCall::Submit(spec), record, rng, out);
+        self.append_call(call, JobCall::Submit(spec), record, turn);
     }
 
     /// Reply to the submission of a job whose id is already known.
@@ -105,47 +89,32 @@
         fold.status(&spec.id).map(JobReply::Accepted)
     }
 
-    fn cancel(
-        &mut self,
-        now: Timestamp,
-        call: CallId,
-        job: JobId,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    fn cancel(&mut self, call: CallId, job: JobId, turn: &mut Turn<'_>) {
         let fold = self.streams.jobs.fold();
         let Some(state) = fold.job(&job) else {
-            out.push(HostAction::JobReply { call, reply: JobReply::NotFound });
+            turn.out.push(HostAction::JobReply { call, reply: JobReply::NotFound });
             return;
         };
         if state.cancelled || state.end.is_some() {
             let reply = fold.status(&job).map_or(JobReply::NotFound, JobReply::Accepted);
-            out.push(HostAction::JobReply { call, reply });
+            turn.out.push(HostAction::JobReply { call, reply });
             return;
         }
         let record = JobRecord::Cancelled { job: job.clone() };
-        self.append_call(now, call, JobCall::Cancel(job), record, rng, out);
+        self.append_call(call, JobCall::Cancel(job), record, turn);
     }
 
-    fn append_call(
-        &mut self,
-        now: Timestamp,
-        call: CallId,
-        body: JobCall,
-        record: JobRecord,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    fn append_call(&mut self, call: CallId, body: JobCall, record: JobRecord, turn: &mut Turn<'_>) {
         if !self.streams.jobs.available() {
-            out.push(HostAction::JobReply { call, reply: JobReply::Unavailable });
+            turn.out.push(HostAction::JobReply { call, reply: JobReply::Unavailable });
             return;
         }
-        let number = self.job_calls.insert(call, body, now + JOB_CALL_LIMIT);
-        self.append_job(now, JobTicket::Call(number), record, rng, out);
+        let number = self.job_calls.insert(call, body, turn.now + JOB_CALL_LIMIT);
+        self.append_job(JobTicket::Call(number), record, turn);
     }
 
     /// Answers a call whose record was folded, or is certain not to be.
-    pub(super) fn job_call_ended(&mut self, number: u64, committed: bool, out: &mut Vec<HostAction>) {
+    pub(super) fn job_call_ended(&mut self, number: u64, committed: bool, turn: &mut Turn<'_>) {
         let Some(open) = self.job_calls.open.remove(&number) else { return };
         let reply = match (&open.body, committed) {
             (_, false) => JobReply::Unavailable,
@@ -154,12 +123,12 @@
                 self.streams.jobs.fold().status(job).map_or(JobReply::NotFound, JobReply::Accepted)
             }
         };
-        out.push(HostAction::JobReply { call: open.call, reply });
+        turn.out.push(HostAction::JobReply { call: open.call, reply });
     }
 
-    fn job_status(&mut self, now: Timestamp, call: CallId, job: JobId, out: &mut Vec<HostAction>) {
-        let Some(state) = self.streams.jobs.fold().job(&job) else {
-            out.push(HostAction::JobReply { call, reply: JobReply::NotFound });
+    fn job_status(&mut self, call: CallId, job: &JobId, turn: &mut Turn<'_>) {
+        let Some(state) = self.streams.jobs.fold().job(job) else {
+            turn.out.push(HostAction::JobReply { call, reply: JobReply::NotFound });
             return;
         };
         let partition = Subject::Partition(partition_of(&state.spec.team));
@@ -167,15 +136,16 @@
         let owner = cell.subject(&partition).filter(|state| !state.released).map(|state| state.owner);
         match owner {
             Some(owner) if owner != self.incarnation() && state.end.is_none() => {
-                let number = self.job_calls.insert(call, JobCall::Status(job.clone()), now + STATUS_LIMIT);
-                if !self.send(owner, PeerMessage::JobQuery { number, job: job.clone() }, None, out) {
+                let number =
+                    self.job_calls.insert(call, JobCall::Status(job.clone()), turn.now + STATUS_LIMIT);
+                if !self.send(owner, PeerMessage::JobQuery { number, job: job.clone() }, None, turn) {
                     self.job_calls.open.remove(&number);
-                    self.reply_status(call, None, &job, out);
+                    self.reply_status(call, None, job, turn);
                 }
             }
             _ => {
-                let status = self.local_status(&job);
-                self.reply_status(call, status, &job, out);
+                let status = self.local_status(job);
+                self.reply_status(call, status, job, turn);
             }
         }
     }
@@ -185,100 +155,82 @@
         self.coordinator.status(job).or_else(|| self.streams.jobs.fold().status(job))
     }
 
-    fn reply_status(&self, call: CallId, status: Option<JobStatus>, job: &JobId, out: &mut Vec<HostAction>) {
+    fn reply_status(&self, call: CallId, status: Option<JobStatus>, job: &JobId, turn: &mut Turn<'_>) {
         let status = status.or_else(|| self.local_status(job));
         let reply = status.map_or(JobReply::NotFound, JobReply::Status);
-        out.push(HostAction::JobReply { call, reply });
+        turn.out.push(HostAction::JobReply { call, reply });
     }
 
     /// Takes the coordinator's answer to a status call.
-    pub(super) fn job_answer(&mut self, number: u64, status: Option<JobStatus>, out: &mut Vec<HostAction>) {
+    pub(super) fn job_answer(&mut self, number: u64, status: Option<JobStatus>, turn: &mut Turn<'_>) {
         let Some(open) = self.job_calls.open.remove(&number) else { return };
         if let JobCall::Status(job) = &open.body {
-            self.reply_status(open.call, status, job, out);
+            self.reply_status(open.call, status, job, turn);
         }
     }
 
-    pub(super) fn expire_job_calls(&mut self, now: Timestamp, out: &mut Vec<HostAction>) {
+    pub(super) fn expire_job_calls(&mut self, turn: &mut Turn<'_>) {
         let expired: Vec<u64> =
-            self.job_calls.open.iter().filter(|(_, open)| now >= open.until).map(|(n, _)| *n).collect();
+            self.job_calls.open.iter().filter(|(_, open)| turn.now >= open.until).map(|(n, _)| *n).collect();
         for number in expired {
             let Some(open) = self.job_calls.open.remove(&number) else { continue };
             match &open.body {
-                JobCall::Status(job) => self.reply_status(open.call, None, job, out),
+                JobCall::Status(job) => self.reply_status(open.call, None, job, turn),
                 JobCall::Submit(_) | JobCall::Cancel(_) => {
-                    out.push(HostAction::JobReply { call: open.call, reply: JobReply::Unavailable });
+                    turn.out.push(HostAction::JobReply { call: open.call, reply: JobReply::Unavailable });
                 }
             }
         }
     }
 
-    pub(super) fn coordinator_event(
-        &mut self,
-        now: Timestamp,
-        event: CoordinatorEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn coordinator_event(&mut self, event: CoordinatorEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.coordinator.handle(now, event, rng, &mut actions);
+        self.coordinator.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
             match action {
                 CoordinatorAction::Append { ticket, record } => {
-                    self.append_job(now, JobTicket::Coordinator(ticket), record, rng, out);
+                    self.append_job(JobTicket::Coordinator(ticket), record, turn);
                 }
-                CoordinatorAction::Send { to, request, until } => self.ask_shard(to, request, until, out),
+                CoordinatorAction::Send { to, request, until } => self.ask_shard(to, request, until, turn),
                 CoordinatorAction::Decision { job, text } => {
-                    out.push(HostAction::Decision(HostDecision::Job { job, text }));
+                    turn.out.push(HostAction::Decision(HostDecision::Job { job, text }));
                 }
             }
         }
     }
 
-    fn ask_shard(
-        &mut self,
-        to: Incarnation,
-        request: ShardRequest,
-        until: Timestamp,
-        out: &mut Vec<HostAction>,
-    ) {
+    fn ask_shard(&mut self, to: Incarnation, request: ShardRequest, until: Timestamp, turn: &mut Turn<'_>) {
         if to == self.incarnation() {
             self.steps.push_back(Step::Placement(PlacementEvent::Request { from: to, request }));
         } else {
-            self.send(to, PeerMessage::Shard(request), Some(until), out);
+            self.send(to, PeerMessage::Shard(request), Some(until), turn);
         }
     }
 
-    pub(super) fn placement_event(
-        &mut self,
-        now: Timestamp,
-        event: PlacementEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn placement_event(&mut self, event: PlacementEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.placement.handle(now, event, rng, &mut actions);
+        self.placement.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
             match action {
                 PlacementAction::Command { worker, ticket, command, until } => {
                     if let Some(shard) = self.shards.get(&worker) {
                         self.commands.insert((worker.clone(), ticket), shard.clone());
                     }
-                    out.push(HostAction::Command { worker, ticket, command, until });
+                    turn.out.push(HostAction::Command { worker, ticket, command, until });
                 }
-                PlacementAction::Reply { to, reply } => self.reply_shard(to, reply, out),
+                PlacementAction::Reply { to, reply } => self.reply_shard(to, reply, turn),
                 PlacementAction::Decision(decision) => {
-                    out.push(HostAction::Decision(HostDecision::Placement(decision)));
+                    turn.out.push(HostAction::Decision(HostDecision::Placement(decision)));
                 }
             }
         }
     }
 
-    fn reply_shard(&mut self, to: Incarnation, reply: ShardReply, out: &mut Vec<HostAction>) {
+    fn reply_shard(&mut self, to: Incarnation, reply: ShardReply, turn: &mut Turn<'_>) {
         if to == self.incarnation() {
             self.steps.push_back(Step::Coordinator(CoordinatorEvent::Reply { from: to, reply }));
         } else {
-            self.send(to, PeerMessage::ShardReply(reply), None, out);
+            self.send(to, PeerMessage::ShardReply(reply), None, turn);
         }
     }
 
--- a/yuccahoist/src/host/mod.rs
+++ b/yuccahoist/src/host/mod.rs
@@ -20,7 +20,7 @@
 use self::control::Closing;
 use self::jobs::JobCalls;
 use self::peers::Peers;
-use self::step::Step;
+use self::step::{Step, Turn};
 use self::streams::Streams;
 use crate::config::{CellConfig, Verdicts};
 use crate::dispatch::{Dispatcher, ForwardId};
@@ -136,7 +136,7 @@
             HostEvent::JobCall { call, body } => Step::JobCall { call, body },
             HostEvent::StatusCall { call } => Step::StatusCall { call },
             HostEvent::Peer { from, message } => Step::Receive { from, message },
-            HostEvent::PeerNotSent { to, message } => Step::NotSent { to, message },
+            HostEvent::PeerNotSent { message, .. } => Step::NotSent { message },
             HostEvent::PeerLost { peer } => Step::PeerLost { peer },
             HostEvent::Read { stream, asked, result } => Step::Read { stream, asked, result },
             HostEvent::Appended { stream, seq, result } => Step::Appended { stream, seq, result },
@@ -152,37 +152,37 @@
         self.steps.push_back(step);
     }
 
-    fn run(&mut self, now: Timestamp, step: Step, rng: &mut dyn Rng, out: &mut Vec<HostAction>) {
+    fn run(&mut self, step: Step, turn: &mut Turn<'_>) {
         match step {
-            Step::Tick => self.tick(now, out),
-            Step::Stop => self.begin_stop(now),
+            Step::Tick => self.tick(turn),
+            Step::Stop => self.begin_stop(turn.now),
             Step::Hosts(hosts) => self.hosts(hosts),
-            Step::Read { stream, asked, result } => self.streams_read(now, stream, asked, result, rng, out),
+            Step::Read { stream, asked, result } => self.streams_read(stream, asked, result, turn),
             Step::Appended { stream, seq, result } => {
-                self.streams_appended(now, stream, seq, result, rng, out);
+                self.streams_appended(stream, seq, result, turn);
             }
-            Step::StreamTick => self.streams_tick(now, rng, out),
-            Step::Restore { stream, snapshot } => self.streams_restore(now, stream, snapshot, rng, out),
-            Step::Verdict(event) => self.verdict(now, event, rng, out),
-            Step::Ownership(event) => self.own(now, event, rng, out),
-            Step::Membership(event) => self.member_event(now, event, rng, out),
-            Step::Front(event) => self.front_event(now, event, rng, out),
-            Step::Dispatch(event) => self.dispatch_event(now, event, rng, out),
+            Step::StreamTick => self.streams_tick(turn),
+            Step::Restore { stream, snapshot } => self.streams_restore(stream, snapshot, turn),
+            Step::Verdict(event) => self.verdict(event, turn),
+            Step::Ownership(event) => self.own(event, turn),
+            Step::Membership(event) => self.member_event(event, turn),
+            Step::Front(event) => self.front_event(event, turn),
+            Step::Dispatch(event) => self.dispatch_event(event, turn),
             Step::Backend { forward, result } => self.backend(forward, result),
-            Step::Placement(event) => self.placement_event(now, event, rng, out),
+            Step::Placement(event) => self.placement_event(event, turn),
             Step::Worker { worker, ticket, result } => self.worker(worker, ticket, result),
-            Step::Coordinator(event) => self.coordinator_event(now, event, rng, out),
-            Step::JobCall { call, body } => self.job_call(now, call, body, rng, out),
+            Step::Coordinator(event) => self.coordinator_event(event, turn),
+            Step::JobCall { call, body } => self.job_call(call, body, turn),
             Step::StatusCall { call } => {
-                out.push(HostAction::StatusReply { call, status: Box::new(self.status()) });
+                turn.out.push(HostAction::StatusReply { call, status: Box::new(self.status()) });
             }
-            Step::Receive { from, message } => self.receive(now, from, message, out),
-            Step::NotSent { to, message } => self.not_sent(to, message),
+            Step::Receive { from, message } => self.receive(from, message, turn),
+            Step::NotSent { message } => self.not_sent(&message),
             Step::PeerLost { peer } => self.peer_lost(peer),
         }
     }
 
-    fn tick(&mut self, now: Timestamp, out: &mut Vec<HostAction>) {
+    fn tick(&mut self, turn: &mut Turn<'_>) {
         self.steps.push_back(Step::StreamTick);
         self.steps.push_back(Step::Ownership(crate::ownership::OwnershipEvent::Tick));
         self.steps.push_back(Step::Membership(crate::membership::MembershipEvent::Tick));
@@ -191,14 +191,14 @@
         self.steps.push_back(Step::Front(crate::front::FrontEvent::Tick));
         self.steps.push_back(Step::Placement(crate::placement::PlacementEvent::Tick));
         self.steps.push_back(Step::Coordinator(crate::job::CoordinatorEvent::Tick));
-        self.expire_job_calls(now, out);
-        self.share_load(now, out);
-        self.greet_seeds(now, out);
-        self.finish_stop(now, out);
+        self.expire_job_calls(turn);
+        self.share_load(turn);
+        self.greet_seeds(turn);
+        self.finish_stop(turn);
     }
 
-    fn control(&self, text: String, out: &mut Vec<HostAction>) {
-        out.push(HostAction::Decision(HostDecision::Control { text }));
+    fn control(&self, text: String, turn: &mut Turn<'_>) {
+        turn.out.push(HostAction::Decision(HostDecision::Control { text }));
     }
 }
 
@@ -209,7 +209,7 @@
     fn handle(&mut self, now: Timestamp, event: HostEvent, rng: &mut dyn Rng, out: &mut Vec<HostAction>) {
         self.start(event);
         while let Some(step) = self.steps.pop_front() {
-            self.run(now, step, rng, out);
+            self.run(step, &mut Turn { now, rng, out });
         }
     }
 }
--- a/yuccahoist/src/host/peers.rs
+++ b/yuccahoist/src/host/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Host;
-use super::step::Step;
+use super::step::{Step, Turn};
 use crate::dispatch::DispatchEvent;
 use crate::event::HostAction;
 use crate::front::FrontEvent;
@@ -116,10 +116,10 @@
         to: Incarnation,
         message: PeerMessage,
         until: Option<Timestamp>,
-        out: &mut Vec<HostAction>,
+        turn: &mut Turn<'_>,
     ) -> bool {
         let Some(address) = self.peers.address(to) else { return false };
-        out.push(HostAction::Send { to, address, message, until });
+        turn.out.push(HostAction::Send { to, address, message, until });
         true
     }
 
@@ -137,17 +137,17 @@
     }
 
     /// Asks peers for the state of a stream: one member at random order of ids, or all seeds.
-    pub(super) fn ask_state(&self, stream: StreamName, out: &mut Vec<HostAction>) {
+    pub(super) fn ask_state(&self, stream: StreamName, turn: &mut Turn<'_>) {
         let message = || PeerMessage::StateQuery { stream };
         let members = self.peers.others(self.incarnation());
         for peer in &members {
-            self.send(*peer, message(), None, out);
+            self.send(*peer, message(), None, turn);
         }
         if members.is_empty() {
             for address in self.seeds() {
                 let heartbeat = PeerMessage::Heartbeat(self.heartbeat());
-                out.push(HostAction::Send { to: ANY, address, message: heartbeat, until: None });
-                out.push(HostAction::Send { to: ANY, address, message: message(), until: None });
+                turn.out.push(HostAction::Send { to: ANY, address, message: heartbeat, until: None });
+                turn.out.push(HostAction::Send { to: ANY, address, message: message(), until: None });
             }
         }
     }
@@ -158,59 +158,53 @@
     }
 
     /// Tells peers about this host while it is not a member, so that they answer it and send it load summaries.
-    pub(super) fn greet_seeds(&mut self, now: Timestamp, out: &mut Vec<HostAction>) {
-        self.peers.forget_guests(now);
-        let due = self.peers.greeted.is_none_or(|at| now.since(at) >= GREETING_PERIOD);
+    pub(super) fn greet_seeds(&mut self, turn: &mut Turn<'_>) {
+        self.peers.forget_guests(turn.now);
+        let due = self.peers.greeted.is_none_or(|at| turn.now.since(at) >= GREETING_PERIOD);
         if self.peers.in_view(self.incarnation()) || self.stop.is_some() || !due {
             return;
         }
-        self.peers.greeted = Some(now);
+        self.peers.greeted = Some(turn.now);
         let message = || PeerMessage::Heartbeat(self.heartbeat());
         for address in self.seeds() {
-            out.push(HostAction::Send { to: ANY, address, message: message(), until: None });
+            turn.out.push(HostAction::Send { to: ANY, address, message: message(), until: None });
         }
     }
 
     /// Gives this host's front the load of its own shards, and peers at intervals.
-    pub(super) fn share_load(&mut self, now: Timestamp, out: &mut Vec<HostAction>) {
-        let shards = self.dispatcher.load(now);
-        if self.peers.load_shared.is_none_or(|at| now.since(at) >= LOAD_PERIOD) {
-            self.peers.load_shared = Some(now);
+    pub(super) fn share_load(&mut self, turn: &mut Turn<'_>) {
+        let shards = self.dispatcher.load(turn.now);
+        if self.peers.load_shared.is_none_or(|at| turn.now.since(at) >= LOAD_PERIOD) {
+            self.peers.load_shared = Some(turn.now);
             for peer in self.peers.others(self.incarnation()) {
-                self.send(peer, PeerMessage::Load(shards.clone()), None, out);
-                self.peers.load_sent.insert(peer, now);
+                self.send(peer, PeerMessage::Load(shards.clone()), None, turn);
+                self.peers.load_sent.insert(peer, turn.now);
             }
         }
         self.steps.push_back(Step::Front(FrontEvent::Load { owner: self.incarnation(), shards }));
     }
 
     /// Sends the load along with a reply, unless the peer has just got it.
-    pub(super) fn piggyback_load(&mut self, now: Timestamp, to: Incarnation, out: &mut Vec<HostAction>) {
-        let recent = self.peers.load_sent.get(&to).is_some_and(|at| now.since(*at) < LOAD_WITH_REPLY);
+    pub(super) fn piggyback_load(&mut self, to: Incarnation, turn: &mut Turn<'_>) {
+        let recent = self.peers.load_sent.get(&to).is_some_and(|at| turn.now.since(*at) < LOAD_WITH_REPLY);
         if !recent {
-            self.peers.load_sent.insert(to, now);
-            self.send(to, PeerMessage::Load(self.dispatcher.load(now)), None, out);
+            self.peers.load_sent.insert(to, turn.now);
+            self.send(to, PeerMessage::Load(self.dispatcher.load(turn.now)), None, turn);
         }
     }
 
-    pub(super) fn receive(
-        &mut self,
-        now: Timestamp,
-        from: Incarnation,
-        message: PeerMessage,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn receive(&mut self, from: Incarnation, message: PeerMessage, turn: &mut Turn<'_>) {
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
                 let event = MembershipEvent::Heard { from, stopping: heartbeat.stopping };
-                self.peers.heard(now, from, heartbeat);
+                self.peers.heard(turn.now, from, heartbeat);
                 self.steps.push_back(Step::Membership(event));
             }
             PeerMessage::Load(shards) => {
                 self.steps.push_back(Step::Front(FrontEvent::Load { owner: from, shards }));
             }
             PeerMessage::Forward { forward, shard, mut request, remaining } => {
-                request.deadline = now + remaining;
+                request.deadline = turn.now + remaining;
                 self.steps.push_back(Step::Dispatch(DispatchEvent::Submit { forward, shard, request }));
             }
             PeerMessage::Accepted { forward } => {
@@ -241,7 +235,7 @@
             PeerMessage::StateQuery { stream } => {
                 if let Some(snapshot) = self.streams.snapshot(stream) {
                     let message = PeerMessage::StateReply { stream, snapshot: snapshot.to_vec() };
-                    self.send(from, message, None, out);
+                    self.send(from, message, None, turn);
                 }
             }
             PeerMessage::StateReply { stream, snapshot } => {
@@ -249,19 +243,19 @@
             }
             PeerMessage::JobQuery { number, job } => {
                 let status = self.local_status(&job).map(Box::new);
-                self.send(from, PeerMessage::JobAnswer { number, status }, None, out);
+                self.send(from, PeerMessage::JobAnswer { number, status }, None, turn);
             }
             PeerMessage::JobAnswer { number, status } => {
-                self.job_answer(number, status.map(|status| *status), out);
+                self.job_answer(number, status.map(|status| *status), turn);
             }
         }
     }
 
-    pub(super) fn not_sent(&mut self, _to: Incarnation, message: PeerMessage) {
+    pub(super) fn not_sent(&mut self, message: &PeerMessage) {
         // Everything else is repeated by its duty.
         if let PeerMessage::Forward { forward, .. } = message {
-            self.forwards.remove(&forward);
-            self.steps.push_back(Step::Front(FrontEvent::NotSent { forward }));
+            self.forwards.remove(forward);
+            self.steps.push_back(Step::Front(FrontEvent::NotSent { forward: *forward }));
         }
     }
 
--- a/yuccahoist/src/host/requests.rs
+++ b/yuccahoist/src/host/requests.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use rand::Rng;
-
 use super::Host;
-use super::step::Step;
+use super::step::{Step, Turn};
 use crate::dispatch::{DispatchAction, DispatchEvent, ForwardId};
 use crate::duty::Duty;
 use crate::event::{HostAction, HostDecision};
@@ -21,35 +19,29 @@
 const DEFAULT_RUN_LIMIT: Duration = Duration::from_secs(60);
 
 impl Host {
-    pub(super) fn front_event(
-        &mut self,
-        now: Timestamp,
-        event: FrontEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn front_event(&mut self, event: FrontEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.front.handle(now, event, rng, &mut actions);
+        self.front.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
             match action {
                 FrontAction::Respond { call, id, outcome } => {
-                    out.push(HostAction::Respond { call, id, outcome });
+                    turn.out.push(HostAction::Respond { call, id, outcome });
                 }
                 FrontAction::Forward { forward, to, shard, request } => {
-                    self.forward(now, forward, to, shard, request, out);
+                    self.forward(forward, to, shard, request, turn);
                 }
-                FrontAction::Withdraw { forward, to } => self.withdraw(forward, to, out),
+                FrontAction::Withdraw { forward, to } => self.withdraw(forward, to, turn),
                 FrontAction::AppendIntents { ids, horizon } => {
-                    self.append_intents(now, IntentRecord::Intents { ids, horizon }, rng, out);
+                    self.append_intents(IntentRecord::Intents { ids, horizon }, turn);
                 }
                 FrontAction::QueryAnswer { to, id, digest } => {
-                    self.send(to, PeerMessage::AnswerQuery { id, digest }, None, out);
+                    self.send(to, PeerMessage::AnswerQuery { id, digest }, None, turn);
                 }
                 FrontAction::ReplyAnswer { to, id, outcome } => {
-                    self.send(to, PeerMessage::AnswerReply { id, outcome }, None, out);
+                    self.send(to, PeerMessage::AnswerReply { id, outcome }, None, turn);
                 }
                 FrontAction::Decision(decision) => {
-                    out.push(HostAction::Decision(HostDecision::Route(decision)));
+                    turn.out.push(HostAction::Decision(HostDecision::Route(decision)));
                 }
             }
         }
@@ -57,56 +49,49 @@
 
     fn forward(
         &mut self,
-        now: Timestamp,
         forward: ForwardId,
         to: Incarnation,
         shard: ShardId,
         request: Request,
-        out: &mut Vec<HostAction>,
+        turn: &mut Turn<'_>,
     ) {
         if to == self.incarnation() {
             self.steps.push_back(Step::Dispatch(DispatchEvent::Submit { forward, shard, request }));
             return;
         }
-        let remaining = request.deadline.since(now);
+        let remaining = request.deadline.since(turn.now);
         let until = Some(request.deadline);
         let message = PeerMessage::Forward { forward, shard, request, remaining };
         self.forwards.insert(forward, to);
-        if !self.send(to, message, until, out) {
+        if !self.send(to, message, until, turn) {
             self.forwards.remove(&forward);
             self.steps.push_back(Step::Front(FrontEvent::NotSent { forward }));
         }
     }
 
-    fn withdraw(&mut self, forward: ForwardId, to: Incarnation, out: &mut Vec<HostAction>) {
+    fn withdraw(&mut self, forward: ForwardId, to: Incarnation, turn: &mut Turn<'_>) {
         self.forwards.remove(&forward);
         if to == self.incarnation() {
             self.steps.push_back(Step::Dispatch(DispatchEvent::Withdraw { forward }));
         } else {
-            self.send(to, PeerMessage::Withdraw { forward }, None, out);
+            self.send(to, PeerMessage::Withdraw { forward }, None, turn);
         }
     }
 
-    pub(super) fn dispatch_event(
-        &mut self,
-        now: Timestamp,
-        event: DispatchEvent,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn dispatch_event(&mut self, event: DispatchEvent, turn: &mut Turn<'_>) {
         let mut actions = Vec::new();
-        self.dispatcher.handle(now, event, rng, &mut actions);
+        self.dispatcher.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
             match action {
                 DispatchAction::Send { forward, worker, epoch, until, request } => {
-                    let bounds = self.bounds(now, epoch, until, &request);
-                    out.push(HostAction::Dispatch { forward, worker, request, bounds, until });
+                    let bounds = self.bounds(turn.now, epoch, until, &request);
+                    turn.out.push(HostAction::Dispatch { forward, worker, request, bounds, until });
                 }
-                DispatchAction::Accepted { forward } => self.accepted(forward, out),
-                DispatchAction::Finished { forward, outcome } => self.finished(now, forward, outcome, out),
+                DispatchAction::Accepted { forward } => self.accepted(forward, turn),
+                DispatchAction::Finished { forward, outcome } => self.finished(forward, outcome, turn),
                 DispatchAction::Quiescent { epoch } => self.requests_ended(epoch),
                 DispatchAction::Decision(decision) => {
-                    out.push(HostAction::Decision(HostDecision::Dispatch(decision)));
+                    turn.out.push(HostAction::Decision(HostDecision::Dispatch(decision)));
                 }
             }
         }
@@ -127,21 +112,21 @@
         }
     }
 
-    fn accepted(&mut self, forward: ForwardId, out: &mut Vec<HostAction>) {
+    fn accepted(&mut self, forward: ForwardId, turn: &mut Turn<'_>) {
         if forward.front == self.incarnation() {
             self.steps.push_back(Step::Front(FrontEvent::Accepted { forward }));
         } else {
-            self.send(forward.front, PeerMessage::Accepted { forward }, None, out);
+            self.send(forward.front, PeerMessage::Accepted { forward }, None, turn);
         }
     }
 
-    fn finished(&mut self, now: Timestamp, forward: ForwardId, outcome: Outcome, out: &mut Vec<HostAction>) {
+    fn finished(&mut self, forward: ForwardId, outcome: Outcome, turn: &mut Turn<'_>) {
         if forward.front == self.incarnation() {
             self.steps.push_back(Step::Front(FrontEvent::Finished { forward, outcome }));
             return;
         }
-        self.send(forward.front, PeerMessage::Finished { forward, outcome }, None, out);
-        self.piggyback_load(now, forward.front, out);
+        self.send(forward.front, PeerMessage::Finished { forward, outcome }, None, turn);
+        self.piggyback_load(forward.front, turn);
     }
 
     pub(super) fn backend(&mut self, forward: ForwardId, result: Result<Answer, CallError>) {
--- a/yuccahoist/src/host/step.rs
+++ b/yuccahoist/src/host/step.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use rand::Rng;
 
 use crate::config::VerdictEvent;
 use crate::dispatch::{DispatchEvent, ForwardId};
-use crate::event::JobCall;
+use crate::event::{HostAction, JobCall};
 use crate::front::{CallId, FrontEvent};
 use crate::id::{Incarnation, Offset, Sequence, WorkerId};
 use crate::job::CoordinatorEvent;
@@ -41,6 +42,13 @@
     JobCall { call: CallId, body: JobCall },
     StatusCall { call: CallId },
     Receive { from: Incarnation, message: PeerMessage },
-    NotSent { to: Incarnation, message: PeerMessage },
+    NotSent { message: PeerMessage },
     PeerLost { peer: Incarnation },
 }
+
+/// Inputs of one call of the host, and where its actions go.
+pub(super) struct Turn<'a> {
+    pub(super) now: Timestamp,
+    pub(super) rng: &'a mut dyn Rng,
+    pub(super) out: &'a mut Vec<HostAction>,
+}
--- a/yuccahoist/src/host/streams.rs
+++ b/yuccahoist/src/host/streams.rs
@@ -2,11 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
-use rand::Rng;
-
 use super::Host;
-use super::step::Step;
+use super::step::{Step, Turn};
 use crate::config::{ConfigEffect, ConfigFold, ConfigRecord, VerdictEvent};
 use crate::duty::Duty;
 use crate::event::HostAction;
@@ -18,6 +15,7 @@
 use crate::platform::{CallError, ReadBatch};
 use crate::stream::{Fold, StreamAction, StreamClient, StreamEvent, StreamName, StreamSettings};
 use crate::unit::Timestamp;
+use bytes::Bytes;
 
 /// Who asked for an append to the `jobs` stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,53 +80,44 @@
     }
 }
 
-/// Turns the sending actions of a stream into host actions and returns the rest.
-fn send<E>(
-    stream: StreamName,
-    actions: Vec<StreamAction<E>>,
-    out: &mut Vec<HostAction>,
-) -> Vec<StreamAction<E>> {
+/// Runs a stream client, turns its calls into host actions, and returns the rest.
+fn handle<F: Fold>(
+    client: &mut StreamClient<F>,
+    event: StreamEvent<F::Record>,
+    turn: &mut Turn<'_>,
+) -> Vec<StreamAction<F::Effect>> {
+    let stream = client.name();
+    let mut actions = Vec::new();
+    client.handle(turn.now, event, turn.rng, &mut actions);
     let mut rest = Vec::new();
     for action in actions {
         match action {
-            StreamAction::SendAppend { seq, record } => out.push(HostAction::Append { stream, seq, record }),
-            StreamAction::SendRead { from, wait } => out.push(HostAction::Read { stream, from, wait }),
+            StreamAction::SendAppend { seq, record } => {
+                turn.out.push(HostAction::Append { stream, seq, record });
+            }
+            StreamAction::SendRead { from, wait } => turn.out.push(HostAction::Read { stream, from, wait }),
             other => rest.push(other),
         }
     }
     rest
 }
 
-fn handle<F: Fold>(
-    client: &mut StreamClient<F>,
-    now: Timestamp,
-    event: StreamEvent<F::Record>,
-    rng: &mut dyn Rng,
-    out: &mut Vec<HostAction>,
-) -> Vec<StreamAction<F::Effect>> {
-    let mut actions = Vec::new();
-    client.handle(now, event, rng, &mut actions);
-    send(client.name(), actions, out)
-}
-
 impl Host {
     pub(super) fn streams_read(
         &mut self,
-        now: Timestamp,
         stream: StreamName,
         asked: Timestamp,
         result: Result<ReadBatch, CallError>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
+        turn: &mut Turn<'_>,
     ) {
         match stream {
-            StreamName::Config => self.on_config(now, StreamEvent::Read { asked, result }, rng, out),
-            StreamName::Cell => self.on_cell(now, StreamEvent::Read { asked, result }, rng, out),
+            StreamName::Config => self.on_config(StreamEvent::Read { asked, result }, turn),
+            StreamName::Cell => self.on_cell(StreamEvent::Read { asked, result }, turn),
             StreamName::Intents => {
                 self.note_truncation(&result);
-                self.on_intents(now, StreamEvent::Read { asked, result }, rng, out);
+                self.on_intents(StreamEvent::Read { asked, result }, turn);
             }
-            StreamName::Jobs => self.on_jobs(now, StreamEvent::Read { asked, result }, rng, out),
+            StreamName::Jobs => self.on_jobs(StreamEvent::Read { asked, result }, turn),
         }
     }
 
@@ -142,54 +131,39 @@
 
     pub(super) fn streams_appended(
         &mut self,
-        now: Timestamp,
         stream: StreamName,
         seq: Sequence,
         result: Result<Offset, CallError>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
+        turn: &mut Turn<'_>,
     ) {
         match stream {
-            StreamName::Config => self.on_config(now, StreamEvent::Appended { seq, result }, rng, out),
-            StreamName::Cell => self.on_cell(now, StreamEvent::Appended { seq, result }, rng, out),
-            StreamName::Intents => self.on_intents(now, StreamEvent::Appended { seq, result }, rng, out),
-            StreamName::Jobs => self.on_jobs(now, StreamEvent::Appended { seq, result }, rng, out),
+            StreamName::Config => self.on_config(StreamEvent::Appended { seq, result }, turn),
+            StreamName::Cell => self.on_cell(StreamEvent::Appended { seq, result }, turn),
+            StreamName::Intents => self.on_intents(StreamEvent::Appended { seq, result }, turn),
+            StreamName::Jobs => self.on_jobs(StreamEvent::Appended { seq, result }, turn),
         }
     }
 
-    pub(super) fn streams_tick(&mut self, now: Timestamp, rng: &mut dyn Rng, out: &mut Vec<HostAction>) {
-        self.on_config(now, StreamEvent::Tick, rng, out);
-        self.on_cell(now, StreamEvent::Tick, rng, out);
-        self.on_intents(now, StreamEvent::Tick, rng, out);
-        self.on_jobs(now, StreamEvent::Tick, rng, out);
+    pub(super) fn streams_tick(&mut self, turn: &mut Turn<'_>) {
+        self.on_config(StreamEvent::Tick, turn);
+        self.on_cell(StreamEvent::Tick, turn);
+        self.on_intents(StreamEvent::Tick, turn);
+        self.on_jobs(StreamEvent::Tick, turn);
     }
 
-    pub(super) fn streams_restore(
-        &mut self,
-        now: Timestamp,
-        stream: StreamName,
-        record: Bytes,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn streams_restore(&mut self, stream: StreamName, record: Bytes, turn: &mut Turn<'_>) {
         match stream {
-            StreamName::Config => self.on_config(now, StreamEvent::Restore { record }, rng, out),
-            StreamName::Cell => self.on_cell(now, StreamEvent::Restore { record }, rng, out),
-            StreamName::Jobs => self.on_jobs(now, StreamEvent::Restore { record }, rng, out),
+            StreamName::Config => self.on_config(StreamEvent::Restore { record }, turn),
+            StreamName::Cell => self.on_cell(StreamEvent::Restore { record }, turn),
+            StreamName::Jobs => self.on_jobs(StreamEvent::Restore { record }, turn),
             StreamName::Intents => {}
         }
     }
 
-    fn on_config(
-        &mut self,
-        now: Timestamp,
-        event: StreamEvent<ConfigRecord>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
-        for action in handle(&mut self.streams.config, now, event, rng, out) {
+    fn on_config(&mut self, event: StreamEvent<ConfigRecord>, turn: &mut Turn<'_>) {
+        for action in handle(&mut self.streams.config, event, turn) {
             match action {
-                StreamAction::Effect(effect) => self.config_effect(effect, out),
+                StreamAction::Effect(effect) => self.config_effect(effect, turn),
                 StreamAction::Committed { ticket, .. } => {
                     self.streams.verdicts.remove(&ticket);
                 }
@@ -201,50 +175,38 @@
                 StreamAction::CaughtUp { .. } => {
                     self.steps.push_back(Step::Verdict(VerdictEvent::CaughtUp));
                 }
-                StreamAction::NeedSnapshot => self.ask_state(StreamName::Config, out),
+                StreamAction::NeedSnapshot => self.ask_state(StreamName::Config, turn),
                 _ => {}
             }
         }
     }
 
-    fn config_effect(&mut self, effect: ConfigEffect, out: &mut Vec<HostAction>) {
+    fn config_effect(&mut self, effect: ConfigEffect, turn: &mut Turn<'_>) {
         if let ConfigEffect::InForce(at) = &effect {
-            self.control(format!("configuration revision {} is in force", at.revision), out);
-            self.apply_config(out);
+            self.control(format!("configuration revision {} is in force", at.revision), turn);
+            self.apply_config(turn);
         }
         self.steps.push_back(Step::Verdict(VerdictEvent::Effect(effect)));
     }
 
     /// Appends this host's verdict on an edit.
-    pub(super) fn append_verdict(
-        &mut self,
-        now: Timestamp,
-        edit: Offset,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn append_verdict(&mut self, edit: Offset, turn: &mut Turn<'_>) {
         let Some(verdict) = self.streams.config.fold().judge(edit) else { return };
         let ticket = self.streams.ticket();
         self.streams.verdicts.insert(ticket, edit);
         let record = ConfigRecord::Verdict(verdict);
-        self.on_config(now, StreamEvent::Append { ticket, record }, rng, out);
+        self.on_config(StreamEvent::Append { ticket, record }, turn);
     }
 
-    fn on_cell(
-        &mut self,
-        now: Timestamp,
-        event: StreamEvent<CellRecord>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
-        for action in handle(&mut self.streams.cell, now, event, rng, out) {
+    fn on_cell(&mut self, event: StreamEvent<CellRecord>, turn: &mut Turn<'_>) {
+        for action in handle(&mut self.streams.cell, event, turn) {
             let event = match action {
                 StreamAction::Effect(change) => OwnershipEvent::Change(change),
                 StreamAction::Committed { ticket, offset } => OwnershipEvent::Appended { ticket, offset },
                 StreamAction::Failed { ticket } => OwnershipEvent::AppendFailed { ticket },
                 StreamAction::CaughtUp { asked } => OwnershipEvent::CaughtUp { asked },
                 StreamAction::NeedSnapshot => {
-                    self.ask_state(StreamName::Cell, out);
+                    self.ask_state(StreamName::Cell, turn);
                     continue;
                 }
                 _ => continue,
@@ -254,25 +216,12 @@
     }
 
     /// Appends a record for the ownership duty, under its own ticket.
-    pub(super) fn append_cell(
-        &mut self,
-        now: Timestamp,
-        ticket: u64,
-        record: CellRecord,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
-        self.on_cell(now, StreamEvent::Append { ticket, record }, rng, out);
+    pub(super) fn append_cell(&mut self, ticket: u64, record: CellRecord, turn: &mut Turn<'_>) {
+        self.on_cell(StreamEvent::Append { ticket, record }, turn);
     }
 
-    fn on_intents(
-        &mut self,
-        now: Timestamp,
-        event: StreamEvent<IntentRecord>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
-        for action in handle(&mut self.streams.intents, now, event, rng, out) {
+    fn on_intents(&mut self, event: StreamEvent<IntentRecord>, turn: &mut Turn<'_>) {
+        for action in handle(&mut self.streams.intents, event, turn) {
             let event = match action {
                 StreamAction::Effect(IntentEffect::First { id }) => FrontEvent::IntentFirst { id },
                 StreamAction::Effect(IntentEffect::Duplicate { id, first }) => {
@@ -295,42 +244,30 @@
     }
 
     /// Appends a batch of request ids.
-    pub(super) fn append_intents(
-        &mut self,
-        now: Timestamp,
-        record: IntentRecord,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn append_intents(&mut self, record: IntentRecord, turn: &mut Turn<'_>) {
         let ticket = self.streams.ticket();
         let IntentRecord::Intents { ids, .. } = &record;
         self.streams.batches.insert(ticket, ids.clone());
-        self.on_intents(now, StreamEvent::Append { ticket, record }, rng, out);
+        self.on_intents(StreamEvent::Append { ticket, record }, turn);
     }
 
-    fn on_jobs(
-        &mut self,
-        now: Timestamp,
-        event: StreamEvent<JobRecord>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
-        for action in handle(&mut self.streams.jobs, now, event, rng, out) {
+    fn on_jobs(&mut self, event: StreamEvent<JobRecord>, turn: &mut Turn<'_>) {
+        for action in handle(&mut self.streams.jobs, event, turn) {
             match action {
                 StreamAction::Effect(record) => {
                     self.steps.push_back(Step::Coordinator(CoordinatorEvent::Record(record)));
                 }
-                StreamAction::Committed { ticket, .. } => self.job_append_ended(ticket, true, out),
+                StreamAction::Committed { ticket, .. } => self.job_append_ended(ticket, true, turn),
                 StreamAction::Failed { ticket } | StreamAction::Unresolved { ticket } => {
-                    self.job_append_ended(ticket, false, out);
+                    self.job_append_ended(ticket, false, turn);
                 }
-                StreamAction::NeedSnapshot => self.ask_state(StreamName::Jobs, out),
+                StreamAction::NeedSnapshot => self.ask_state(StreamName::Jobs, turn),
                 _ => {}
             }
         }
     }
 
-    fn job_append_ended(&mut self, ticket: u64, committed: bool, out: &mut Vec<HostAction>) {
+    fn job_append_ended(&mut self, ticket: u64, committed: bool, turn: &mut Turn<'_>) {
         match self.streams.tickets.remove(&ticket) {
             Some(JobTicket::Coordinator(ticket)) => {
                 let event = if committed {
@@ -340,22 +277,15 @@
                 };
                 self.steps.push_back(Step::Coordinator(event));
             }
-            Some(JobTicket::Call(number)) => self.job_call_ended(number, committed, out),
+            Some(JobTicket::Call(number)) => self.job_call_ended(number, committed, turn),
             None => {}
         }
     }
 
     /// Appends a record to the `jobs` stream.
-    pub(super) fn append_job(
-        &mut self,
-        now: Timestamp,
-        owner: JobTicket,
-        record: JobRecord,
-        rng: &mut dyn Rng,
-        out: &mut Vec<HostAction>,
-    ) {
+    pub(super) fn append_job(&mut self, owner: JobTicket, record: JobRecord, turn: &mut Turn<'_>) {
         let ticket = self.streams.ticket();
         self.streams.tickets.insert(ticket, owner);
-        self.on_jobs(now, StreamEvent::Append { ticket, record }, rng, out);
+        self.on_jobs(StreamEvent::Append { ticket, record }, turn);
     }
 }
