Add host actor, peer connections, caller interface, platform clients and daemon assembly

The duties had no sockets. One thread per host runs the actor and the Cap'n Proto connections; callers' HTTP and platform clients run on it or on threads of their own. PeerLost is reported for a break in either direction, because outcomes may be lost when only the other direction breaks.

--- /dev/null
+++ b/yuccahoist/src/api/reply.rs
@@ -0,0 +1,176 @@
+//! Responses of the caller interface.
+
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use reqwest::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use serde::Serialize;
+use warp::reply::Response;
+
+use crate::request::{Doubt, Outcome, Refusal};
+
+/// Header with the outcome.
+pub(super) const OUTCOME: &str = "yuccahoist-outcome";
+/// Time after which a retry has a chance when the cause gives none.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// One thing that is wrong in a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(super) struct Problem {
+    /// Header or part of the request.
+    field: &'static str,
+    /// Value found.
+    value: String,
+    /// What is allowed.
+    allowed: String,
+}
+
+impl Problem {
+    /// Longest part of a value that is repeated, characters.
+    const VALUE_LIMIT: usize = 80;
+
+    pub(super) fn new(field: &'static str, value: &str, allowed: impl Into<String>) -> Self {
+        Self { field, value: value.chars().take(Self::VALUE_LIMIT).collect(), allowed: allowed.into() }
+    }
+}
+
+#[derive(Serialize)]
+struct Errors<'a> {
+    errors: &'a [Problem],
+}
+
+#[derive(Serialize)]
+struct Reason<'a> {
+    reason: &'a str,
+}
+
+/// Response with a JSON body.
+pub(super) fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(body.into());
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// 503 with a reason.
+pub(super) fn unavailable(reason: &str) -> Response {
+    let response = json(StatusCode::SERVICE_UNAVAILABLE, &Reason { reason });
+    retry_after(response, RETRY)
+}
+
+/// Response with everything that is wrong in a request.
+pub(super) fn errors(status: StatusCode, errors: &[Problem]) -> Response {
+    json(status, &Errors { errors })
+}
+
+/// Response to a request that did not run because of its form.
+pub(super) fn not_run(status: StatusCode, problems: &[Problem]) -> Response {
+    with_outcome(errors(status, problems), "not-run")
+}
+
+/// Response to a request that did not run because this host does not take it.
+pub(super) fn refused(reason: &str) -> Response {
+    with_outcome(unavailable(reason), "not-run")
+}
+
+/// Response to a request whose outcome the host did not give.
+pub(super) fn host_lost() -> Response {
+    let body = Reason { reason: "the host ended before it gave the outcome" };
+    with_outcome(json(StatusCode::BAD_GATEWAY, &body), "unknown")
+}
+
+/// Response with the outcome of a request.
+pub(super) fn outcome(outcome: Outcome) -> Response {
+    let name = outcome.as_str();
+    let response = match outcome {
+        Outcome::Answered(answer) => {
+            let mut response = Response::new(answer.body.into());
+            *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            response
+        }
+        Outcome::NotRun(refusal) => refusal_response(&refusal),
+        Outcome::Unknown(doubt) => {
+            let (status, reason) = doubt_status(&doubt);
+            json(status, &Reason { reason })
+        }
+    };
+    with_outcome(response, name)
+}
+
+fn with_outcome(mut response: Response, outcome: &'static str) -> Response {
+    response.headers_mut().insert(OUTCOME, HeaderValue::from_static(outcome));
+    response
+}
+
+/// Adds `Retry-After` in whole seconds, rounded up.
+fn retry_after(mut response: Response, after: Duration) -> Response {
+    let seconds = after.as_millis().div_ceil(1_000).clamp(1, 3_600);
+    let seconds = u64::try_from(seconds).unwrap_or(1);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    response
+}
+
+fn refusal_response(refusal: &Refusal) -> Response {
+    let (status, reason, retry) = refusal_status(refusal);
+    let response = json(status, &Reason { reason });
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            retry_after(response, retry.unwrap_or(RETRY))
+        }
+        _ => response,
+    }
+}
+
+fn refusal_status(refusal: &Refusal) -> (StatusCode, &'static str, Option<Duration>) {
+    match refusal {
+        Refusal::Overloaded { retry } => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the queue of the class is full or the expected wait exceeds the deadline",
+            Some(*retry),
+        ),
+        Refusal::TeamLimit { retry } => {
+            (StatusCode::TOO_MANY_REQUESTS, "the team has reached its limit", Some(*retry))
+        }
+        Refusal::IntentBudget { retry } => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "this host takes no more non-idempotent requests now",
+            Some(*retry),
+        ),
+        Refusal::Expired => {
+            (StatusCode::GATEWAY_TIMEOUT, "the deadline passed before the request was sent", None)
+        }
+        Refusal::IdTooOld => (StatusCode::GONE, "the request id is older than the id window", None),
+        Refusal::IdInFuture => {
+            (StatusCode::BAD_REQUEST, "the time in the request id lies ahead of the clock of this host", None)
+        }
+        Refusal::IdReused => (StatusCode::CONFLICT, "the request id is known with another body", None),
+        Refusal::UnknownService => (StatusCode::BAD_REQUEST, "the service is not in the configuration", None),
+        Refusal::UnknownTeam => (StatusCode::BAD_REQUEST, "the team is not in the configuration", None),
+        Refusal::LogUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the log is unavailable, so only idempotent requests are taken",
+            None,
+        ),
+        Refusal::NoOwner => (StatusCode::SERVICE_UNAVAILABLE, "no owner of a suitable worker is known", None),
+        Refusal::NotOwner => (StatusCode::SERVICE_UNAVAILABLE, "the owner of the workers has changed", None),
+        Refusal::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "the host is stopping", None),
+        Refusal::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "no configuration is in force yet", None),
+    }
+}
+
+fn doubt_status(doubt: &Doubt) -> (StatusCode, &'static str) {
+    match doubt {
+        Doubt::DeadlineAfterDispatch => {
+            (StatusCode::GATEWAY_TIMEOUT, "the deadline passed after the request was sent")
+        }
+        Doubt::BackendLost => {
+            (StatusCode::BAD_GATEWAY, "the connection to the backend server broke after the request was sent")
+        }
+        Doubt::OwnerLost => (StatusCode::BAD_GATEWAY, "the host that had the request was lost"),
+        Doubt::Duplicate => (
+            StatusCode::CONFLICT,
+            "an earlier request with this id may have run, and its answer is not available",
+        ),
+    }
+}
--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -1,19 +1,45 @@
 //! Assembly of one entry host.
+//!
+//! A host has one thread with a `LocalSet`: Cap'n Proto objects cannot move between threads, and the host actor handles
+//! every event anyway, so that an event of a peer reaches it without waking another thread. Callers' HTTP and the
+//! platform clients run on the same thread, or on threads of their own when `io_threads` is set.
 
-use std::net::SocketAddr;
+use std::fmt;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use thiserror::Error;
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::MissedTickBehavior;
+use xtra::{Address, Mailbox};
 
+use crate::actor::{Effects, HostActor, Input, post};
+use crate::api::{self, Api};
+use crate::clock::{Clock, MonotonicClock};
 use crate::duty::Duty;
-use crate::event::{HostAction, HostEvent};
+use crate::event::{HostAction, HostEvent, TICK};
 use crate::id::Incarnation;
-use crate::platform::{BackendServer, HostList, LogService, WorkerPlatform, WorkerTable};
-use crate::settings::Settings;
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::peer::{LinkContext, LinkOpener, Outgoing, PeerLinks, ServerContext, run_links, serve};
+use crate::platform::{
+    BackendServer, CallError, HostList, HttpBackendServer, HttpHostList, HttpWorkers, LogService,
+    WorkerPlatform, WorkerTable,
+};
+use crate::settings::{PlatformSettings, Settings};
+use crate::unit::Timestamp;
 
 /// State machine of a host, which the daemon drives.
 pub type HostMachine = Box<dyn Duty<Event = HostEvent, Action = HostAction> + Send>;
 
+/// Longest time to send what is queued for peers at the end of a graceful stop.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Services of the platform.
 #[derive(Debug, Clone)]
 pub struct Platform {
@@ -25,54 +51,151 @@
     pub backends: Arc<dyn BackendServer>,
     /// Host list.
     pub hosts: Arc<dyn HostList>,
-    /// Addresses of workers, which the daemon keeps up to date.
+    /// Addresses of workers, which [`HostAction::Workers`] replaces.
     pub table: WorkerTable,
 }
 
+impl Platform {
+    /// Platform by HTTP, with a client of the log service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no HTTP client can be made.
+    pub fn http(settings: &PlatformSettings, log: Arc<dyn LogService>) -> Result<Self, StartError> {
+        let table = WorkerTable::default();
+        let client = |error: reqwest::Error| StartError::Client(error.to_string());
+        Ok(Self {
+            log,
+            workers: Arc::new(HttpWorkers::new(table.clone(), settings).map_err(client)?),
+            backends: Arc::new(HttpBackendServer::new(table.clone(), settings).map_err(client)?),
+            hosts: Arc::new(HttpHostList::new(settings).map_err(client)?),
+            table,
+        })
+    }
+}
+
 /// Reason why a daemon does not start.
 #[derive(Debug, Error)]
 pub enum StartError {
     /// Address cannot be bound.
-    #[error("{file}: {field} is {address}; cannot listen there: {reason}")]
+    #[error("listen.json: {field} is {address}; allowed: an address of this machine that is free ({reason})")]
     Listen {
-        /// Settings file.
-        file: &'static str,
         /// Field.
         field: &'static str,
         /// Address.
         address: SocketAddr,
         /// Reason.
-        reason: String,
+        reason: std::io::Error,
     },
     /// Thread or runtime cannot be made.
-    #[error("cannot start the host thread: {0}")]
+    #[error("starting the host thread failed: {0}")]
     Thread(std::io::Error),
+    /// Metrics socket cannot be made.
+    #[error("metrics.json: statsd cannot be used: {0}")]
+    Metrics(std::io::Error),
+    /// HTTP client cannot be made.
+    #[error("making an HTTP client failed: {0}")]
+    Client(String),
 }
 
-/// Entry host that listens but does not run yet.
+/// Bound addresses of a host that does not run yet.
 #[derive(Debug)]
-pub struct Daemon;
+pub struct Daemon {
+    settings: Settings,
+    api: TcpListener,
+    peer: TcpListener,
+    addresses: (SocketAddr, SocketAddr),
+}
 
-/// Entry host that runs.
-#[derive(Debug)]
+impl Daemon {
+    /// Binds the listening addresses. With port 0 the system chooses one, and `settings` gets it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is in use or is not of this machine.
+    pub fn bind(mut settings: Settings) -> Result<Self, StartError> {
+        let api = listen("api", settings.listen.api)?;
+        let peer = listen("peer", settings.listen.peer)?;
+        settings.listen.api = api.local_addr().map_err(StartError::Thread)?;
+        settings.listen.peer = peer.local_addr().map_err(StartError::Thread)?;
+        let addresses = (settings.listen.api, settings.listen.peer);
+        Ok(Self { settings, api, peer, addresses })
+    }
+
+    /// Settings with the bound addresses.
+    #[must_use]
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Starts the host on its own thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread or a runtime cannot be made.
+    pub fn run(self, host: HostMachine, platform: Platform) -> Result<Running, StartError> {
+        let (control, commands) = mpsc::unbounded_channel();
+        let (finished, ended) = oneshot::channel();
+        let metrics = Metrics::new(&self.settings.metrics).map_err(StartError::Metrics)?;
+        let incarnation = self.settings.host.incarnation;
+        let (api, peer) = self.addresses;
+        let name = format!("host-{}", self.settings.host.name);
+        let main = Builder::new_current_thread().enable_all().build().map_err(StartError::Thread)?;
+        let io = io_runtime(self.settings.host.io_threads).map_err(StartError::Thread)?;
+        let assembly = Assembly { daemon: self, host, platform, metrics };
+        let thread = std::thread::Builder::new()
+            .name(name)
+            .spawn(move || {
+                run_thread(assembly, main, io, commands);
+                let _ = finished.send(());
+            })
+            .map_err(StartError::Thread)?;
+        Ok(Running { api, peer, incarnation, control, ended, thread: Some(thread) })
+    }
+
+    /// Binds the listening addresses and starts the host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is in use, or the thread or a runtime cannot be made.
+    pub fn start(settings: Settings, host: HostMachine, platform: Platform) -> Result<Running, StartError> {
+        Self::bind(settings)?.run(host, platform)
+    }
+}
+
+fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let error = |reason| StartError::Listen { field, address, reason };
+    let listener = TcpListener::bind(address).map_err(error)?;
+    listener.set_nonblocking(true).map_err(error)?;
+    Ok(listener)
+}
+
+fn io_runtime(threads: usize) -> std::io::Result<Option<Runtime>> {
+    if threads == 0 {
+        return Ok(None);
+    }
+    Builder::new_multi_thread().worker_threads(threads).thread_name("io").enable_all().build().map(Some)
+}
+
+/// Command to a running host.
+enum Command {
+    Stop,
+    Kill,
+}
+
+/// Entry host that runs. Dropping it kills it.
 pub struct Running {
     api: SocketAddr,
     peer: SocketAddr,
     incarnation: Incarnation,
+    control: mpsc::UnboundedSender<Command>,
+    ended: oneshot::Receiver<()>,
+    thread: Option<std::thread::JoinHandle<()>>,
 }
 
-impl Daemon {
-    /// Binds the listening addresses and starts a host on its own thread.
-    ///
-    /// # Errors
-    ///
-    /// Fails when an address is in use or the thread cannot be made.
-    pub fn start(
-        _settings: Settings,
-        _host: HostMachine,
-        _platform: Platform,
-    ) -> Result<Running, StartError> {
-        Err(StartError::Thread(std::io::Error::other("not assembled")))
+impl fmt::Debug for Running {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Running(api {}, peer {})", self.api, self.peer)
     }
 }
 
@@ -95,9 +218,283 @@
         self.incarnation
     }
 
-    /// Ends the host at once: connections break, nothing is released.
-    pub fn kill(self) {}
+    /// Ends the host at once: connections break and nothing is released.
+    pub fn kill(self) {
+        drop(self);
+    }
+
+    /// Stops the host gracefully: requests in progress finish and leases are released.
+    pub async fn stop(mut self) {
+        let _ = self.control.send(Command::Stop);
+        let _ = (&mut self.ended).await;
+    }
 
-    /// Stops the host gracefully: requests in progress finish, leases are released.
-    pub async fn stop(self) {}
+    /// Runs until SIGTERM or SIGINT, then stops gracefully. A second signal ends the host at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no signal handler can be installed.
+    pub async fn until_signal(mut self) -> std::io::Result<()> {
+        use tokio::signal::unix::{SignalKind, signal};
+
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        for text in ["stopping gracefully", "ending at once"] {
+            tokio::select! {
+                _ = &mut self.ended => return Ok(()),
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            log::info!("signal received; {text}");
+            let _ = self.control.send(Command::Stop);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.control.send(Command::Kill);
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("the host thread has panicked");
+        }
+    }
+}
+
+/// Everything that the host thread takes over.
+struct Assembly {
+    daemon: Daemon,
+    host: HostMachine,
+    platform: Platform,
+    metrics: Metrics,
+}
+
+fn run_thread(
+    assembly: Assembly,
+    main: Runtime,
+    io: Option<Runtime>,
+    commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let handle = io.as_ref().unwrap_or(&main).handle().clone();
+    let local = LocalSet::new();
+    local.block_on(&main, async {
+        if let Err(error) = run(assembly, handle, commands).await {
+            log::error!("the host cannot run: {error}");
+        }
+    });
+    // Dropping a runtime ends its tasks and closes their sockets.
+    drop(local);
+    drop(main);
+    if let Some(io) = io {
+        io.shutdown_background();
+    }
+}
+
+async fn run(
+    assembly: Assembly,
+    io: Handle,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) -> std::io::Result<()> {
+    let Assembly { daemon, host: machine, platform, metrics } = assembly;
+    let settings = daemon.settings;
+    let clock: Arc<dyn Clock> = Arc::new(MonotonicClock::new());
+    let own = settings.host.incarnation;
+    let (host, mailbox) = Mailbox::unbounded();
+    let (links, opener) = PeerLinks::new();
+    let (stopped, all_stopped) = oneshot::channel();
+    let effects = DaemonEffects {
+        io: io.clone(),
+        host: host.clone(),
+        clock: Arc::clone(&clock),
+        platform: platform.clone(),
+        links: Some(links),
+        stopped: Some(stopped),
+        decisions: settings.logging.decisions,
+    };
+    let actor = HostActor::new(machine, Arc::clone(&clock), Box::new(effects), metrics);
+    spawn_local(xtra::run(mailbox, actor));
+    let links = spawn_links(opener, &host, own, &clock);
+    let peer = tokio::net::TcpListener::from_std(daemon.peer)?;
+    let context = ServerContext::new(host.clone(), own, Arc::clone(&clock));
+    spawn_local(serve(peer, Rc::new(context)));
+    spawn_local(tick(host.clone(), Arc::clone(&clock)));
+    io.spawn(poll_hosts(host.clone(), platform.hosts, settings.platform.poll));
+    let api = Arc::new(Api::new(host.clone(), clock, &settings.listen));
+    let (close, closed) = oneshot::channel::<()>();
+    let listener = {
+        // The listener belongs to the runtime that serves it.
+        let _guard = io.enter();
+        tokio::net::TcpListener::from_std(daemon.api)?
+    };
+    let serving = io.spawn(api::serve(listener, Arc::clone(&api), async {
+        let _ = closed.await;
+    }));
+    let stop = async move {
+        api.stopping();
+        tokio::time::sleep(settings.listen.stop_delay).await;
+        post(&host, Input::Event(HostEvent::Stop));
+        let _ = close.send(());
+        let _ = serving.await;
+        let _ = all_stopped.await;
+        let _ = tokio::time::timeout(FLUSH_TIMEOUT, links).await;
+    };
+    match commands.recv().await {
+        Some(Command::Stop) => tokio::select! {
+            () = stop => {}
+            _ = commands.recv() => {}
+        },
+        Some(Command::Kill) | None => {}
+    }
+    Ok(())
+}
+
+fn spawn_links(
+    opener: LinkOpener,
+    host: &Address<HostActor>,
+    own: Incarnation,
+    clock: &Arc<dyn Clock>,
+) -> tokio::task::JoinHandle<()> {
+    let context = LinkContext { host: host.clone(), own, clock: Arc::clone(clock) };
+    spawn_local(run_links(opener, Rc::new(context)))
+}
+
+async fn tick(host: Address<HostActor>, clock: Arc<dyn Clock>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        // Waits until it is handled, so that ticks of a busy host do not pile up.
+        let event = HostEvent::Tick { wall: clock.wall() };
+        if host.send(Input::Event(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn poll_hosts(host: Address<HostActor>, list: Arc<dyn HostList>, poll: Duration) {
+    let mut interval = tokio::time::interval(poll);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        match list.hosts().await {
+            Ok(hosts) => {
+                if !post(&host, Input::Event(HostEvent::Hosts(hosts))) {
+                    return;
+                }
+            }
+            Err(error) => log::warn!("{error}"),
+        }
+    }
+}
+
+/// Starts the I/O that the state machine asks for.
+struct DaemonEffects {
+    io: Handle,
+    host: Address<HostActor>,
+    clock: Arc<dyn Clock>,
+    platform: Platform,
+    links: Option<PeerLinks>,
+    stopped: Option<oneshot::Sender<()>>,
+    decisions: bool,
+}
+
+impl DaemonEffects {
+    fn spawn(&self, work: impl Future<Output = HostEvent> + Send + 'static) {
+        let host = self.host.clone();
+        self.io.spawn(async move {
+            let event = work.await;
+            post(&host, Input::Event(event));
+        });
+    }
+
+    fn send(&mut self, action: HostAction, back: &mut Vec<HostEvent>) {
+        let HostAction::Send { to, address, message, until } = action else { return };
+        let sent = match &mut self.links {
+            Some(links) => links.send(to, address, Outgoing { message, until }),
+            None => Err(Box::new(message)),
+        };
+        if let Err(message) = sent {
+            back.push(HostEvent::PeerNotSent { to, message: *message });
+        }
+    }
+
+    fn dispatch(&self, action: HostAction) {
+        let HostAction::Dispatch { forward, worker, request, bounds, until } = action else { return };
+        let backends = Arc::clone(&self.platform.backends);
+        let clock = Arc::clone(&self.clock);
+        self.spawn(async move {
+            let result = match late("request", &worker, clock.now(), until) {
+                Some(error) => Err(error),
+                None => backends.call(&worker, &request, bounds).await,
+            };
+            HostEvent::Backend { forward, result }
+        });
+    }
+
+    fn command(&self, action: HostAction) {
+        let HostAction::Command { worker, ticket, command, until } = action else { return };
+        let workers = Arc::clone(&self.platform.workers);
+        let clock = Arc::clone(&self.clock);
+        self.spawn(async move {
+            let result = match late("worker command", &worker, clock.now(), until) {
+                Some(error) => Err(error),
+                None => workers.command(&worker, command).await,
+            };
+            HostEvent::Worker { worker, ticket, result }
+        });
+    }
+
+    fn log(&self, action: HostAction) {
+        let log = Arc::clone(&self.platform.log);
+        match action {
+            HostAction::Read { stream, from, wait } => {
+                let clock = Arc::clone(&self.clock);
+                self.spawn(async move {
+                    let asked = clock.now();
+                    let result = log.read(stream, from, wait).await;
+                    HostEvent::Read { stream, asked, result }
+                });
+            }
+            HostAction::Append { stream, seq, record } => self.spawn(async move {
+                let result = log.append(stream, record).await;
+                HostEvent::Appended { stream, seq, result }
+            }),
+            _ => {}
+        }
+    }
+}
+
+/// Error of an action whose time has passed right before the write.
+fn late(step: &'static str, peer: &impl ToString, now: Timestamp, until: Timestamp) -> Option<CallError> {
+    (now > until).then(|| CallError::NotSent {
+        step,
+        peer: peer.to_string(),
+        reason: format!("its time limit {until} has passed at {now}"),
+    })
+}
+
+impl Effects for DaemonEffects {
+    fn carry_out(&mut self, _: Timestamp, action: HostAction, back: &mut Vec<HostEvent>) {
+        match action {
+            HostAction::Send { .. } => self.send(action, back),
+            HostAction::Dispatch { .. } => self.dispatch(action),
+            HostAction::Command { .. } => self.command(action),
+            HostAction::Read { .. } | HostAction::Append { .. } => self.log(action),
+            HostAction::Workers(workers) => self.platform.table.replace(workers),
+            HostAction::Decision(decision) if self.decisions => logging::decision(&decision),
+            HostAction::Decision(_) => {}
+            HostAction::Stopped => {
+                // Ends the connections once what is queued has been sent.
+                self.links = None;
+                if let Some(stopped) = self.stopped.take() {
+                    let _ = stopped.send(());
+                }
+            }
+            HostAction::Respond { .. } | HostAction::JobReply { .. } | HostAction::StatusReply { .. } => {
+                log::error!("an answer to a call reached the I/O tasks");
+            }
+        }
+    }
 }
--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -3,6 +3,8 @@
 //! The library holds one module per duty. The decision logic of each is a state machine without I/O (see
 //! [`duty::Duty`]); actors and sockets wrap it.
 
+pub mod actor;
+pub mod api;
 pub mod clock;
 pub mod daemon;
 pub mod dispatch;
@@ -11,6 +13,8 @@
 pub mod front;
 pub mod id;
 pub mod job;
+pub mod logging;
+pub mod metrics;
 pub mod ownership;
 pub mod peer;
 pub mod placement;
--- a/yuccahoist/src/peer/mod.rs
+++ b/yuccahoist/src/peer/mod.rs
@@ -1,5 +1,38 @@
 //! Connections between entry hosts.
+//!
+//! Every host connects to each peer that it sends to, so a pair of hosts has one connection per direction. The Cap'n
+//! Proto interface has one method, which delivers a list of messages; its return confirms that the receiver has handled
+//! them. Requests and their outcomes are native Cap'n Proto structs, because they are most of the traffic and their
+//! bodies are then copied once into the message and once out of it. Control messages are one data field with `postcard`
+//! bytes: they are nested and change often, and a second description of each in the schema would have to be kept equal
+//! to the Rust types without any gain in speed that matters at their rate.
+//!
+//! A message is delivered at most once. A connection that breaks in either direction is reported as
+//! [`HostEvent::PeerLost`](crate::event::HostEvent::PeerLost) at both ends, because requests may have been lost in one
+//! direction and outcomes in the other.
 
+mod link;
 mod message;
+mod server;
+mod wire;
 
+#[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs, rustdoc::all)]
+#[rustfmt::skip]
+mod peer_capnp;
+
+pub use self::link::{LinkContext, LinkOpener, Outgoing, PeerLinks, run_links};
 pub use self::message::*;
+pub use self::server::{ServerContext, serve};
+pub use self::wire::{WireError, WireMessage, decode, encode};
+
+/// Largest Cap'n Proto message that is read, bytes. A snapshot of a fold is the largest message.
+pub const MESSAGE_LIMIT: usize = 32 << 20;
+/// Messages in one delivery.
+pub const BATCH_LIMIT: usize = 256;
+
+/// Limits for reading what a peer sends, which apply before memory is allocated.
+fn reader_options() -> capnp::message::ReaderOptions {
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MESSAGE_LIMIT / 8)).nesting_limit(32);
+    options
+}
--- a/yuccahoist/src/platform/mod.rs
+++ b/yuccahoist/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! The platform gives a log service, workers that run tasks, backend servers and a host list. Each is a trait object
 //! here, so that the product runs against the published HTTP interfaces and tests run against fakes.
 
+mod http;
 mod table;
 
 use std::collections::BTreeMap;
@@ -20,6 +21,9 @@
 use crate::stream::StreamName;
 use crate::unit::WallTime;
 
+pub use self::http::{
+    EPOCH, HttpBackendServer, HttpHostList, HttpWorkers, REJECTED, REQUEST_ID, RUN_LIMIT, START_BEFORE,
+};
 pub use self::table::{WorkerAddress, WorkerTable};
 
 /// Records read from a stream.
