--- /dev/null
+++ b/yuccahoist_standins/src/serve.rs
@@ -0,0 +1,197 @@
+//! Stand-ins by HTTP.
+//!
+//! A worker has one address for its backend server and its agent: `POST /run/{service}`, `POST /command`. The host
+//! list has `GET /hosts` and `POST /hosts` (map of name to state, or to null). Both have `POST /faults`
+//! ([`Faults`] in JSON) and `GET /record`.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::time::Duration;
+
+use futures::stream;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::service::TowerToHyperService;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use warp::http::{HeaderMap, StatusCode};
+use warp::reply::Response;
+use warp::{Filter, Reply};
+use yuccahoist::id::{Epoch, RequestId, ServiceId, TeamId, WorkerId};
+use yuccahoist::placement::WorkerCommand;
+use yuccahoist::platform::{
+    BackendServer, CallError, DispatchBounds, EPOCH, HostList, HostState, REJECTED, REQUEST_ID, RUN_LIMIT,
+    START_BEFORE, WorkerPlatform,
+};
+use yuccahoist::request::{Class, Request};
+use yuccahoist::unit::{Timestamp, WallTime};
+
+use crate::backend::{BackendRecord, Backends};
+use crate::fault::{FaultSwitch, Faults};
+use crate::hosts::Hosts;
+use crate::worker::{WorkerRecord, Workers};
+
+/// Record of a worker and its backend server.
+#[derive(Debug, Serialize)]
+struct Record {
+    backend: Option<BackendRecord>,
+    worker: Option<WorkerRecord>,
+}
+
+/// Serves a worker until it is dropped.
+pub async fn worker(listener: TcpListener, id: WorkerId, backends: Backends, workers: Workers) {
+    let (Some(backend_faults), Some(worker_faults)) = (backends.faults(&id), workers.faults(&id)) else {
+        return;
+    };
+    let switches = [backend_faults.clone(), worker_faults.clone()];
+    let connections = (id.clone(), backends.clone());
+    let run = {
+        let (id, backends) = (id.clone(), backends.clone());
+        warp::path!("run" / ServiceId)
+            .and(warp::post())
+            .and(warp::header::headers_cloned())
+            .and(warp::body::bytes())
+            .then(move |service, headers, body| run(id.clone(), backends.clone(), service, headers, body))
+    };
+    let command = {
+        let (id, workers) = (id.clone(), workers.clone());
+        warp::path!("command").and(warp::post()).and(warp::body::json()).then(move |body: WorkerCommand| {
+            let (id, workers) = (id.clone(), workers.clone());
+            async move { answer(workers.command(&id, body).await) }
+        })
+    };
+    let record = warp::path!("record").and(warp::get()).map(move || {
+        let record = Record { backend: backends.record_of(&id), worker: workers.record_of(&id) };
+        warp::reply::json(&record).into_response()
+    });
+    let filter = run.or(command).unify().or(record).unify().or(faults(switches.to_vec())).unify();
+    accept(listener, filter, || connections.1.connection(&connections.0)).await;
+}
+
+/// Serves a host list until it is dropped.
+pub async fn hosts(listener: TcpListener, hosts: Hosts) {
+    let list = {
+        let hosts = hosts.clone();
+        warp::path!("hosts").and(warp::get()).then(move || {
+            let hosts = hosts.clone();
+            async move { answer(hosts.hosts().await) }
+        })
+    };
+    let set = {
+        let hosts = hosts.clone();
+        warp::path!("hosts").and(warp::post()).and(warp::body::json()).map(
+            move |states: BTreeMap<String, Option<HostState>>| {
+                states.iter().for_each(|(name, state)| hosts.set(name, *state));
+                StatusCode::NO_CONTENT.into_response()
+            },
+        )
+    };
+    let record = {
+        let hosts = hosts.clone();
+        warp::path!("record").and(warp::get()).map(move || warp::reply::json(&hosts.shown()).into_response())
+    };
+    let filter = list.or(set).unify().or(record).unify().or(faults(vec![hosts.faults().clone()])).unify();
+    accept(listener, filter, || None::<()>).await;
+}
+
+fn faults(
+    switches: Vec<FaultSwitch>,
+) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static {
+    warp::path!("faults").and(warp::post()).and(warp::body::json()).map(move |faults: Faults| {
+        switches.iter().for_each(|switch| switch.set(faults.clone()));
+        StatusCode::NO_CONTENT.into_response()
+    })
+}
+
+async fn run(
+    id: WorkerId,
+    backends: Backends,
+    service: ServiceId,
+    headers: HeaderMap,
+    body: bytes::Bytes,
+) -> Response {
+    let Some((request, bounds)) = request(service, &headers, body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    match backends.call(&id, &request, bounds).await {
+        Ok(answer) => {
+            let mut response = Response::new(answer.body.into());
+            *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or_default();
+            response
+        }
+        Err(error) => failure(&error),
+    }
+}
+
+/// Request from the headers that the product sends. What they do not carry has no effect at a backend server.
+fn request(service: ServiceId, headers: &HeaderMap, body: bytes::Bytes) -> Option<(Request, DispatchBounds)> {
+    let text = |name| headers.get(name)?.to_str().ok();
+    let number = |name| text(name)?.parse::<u64>().ok();
+    let id: RequestId = text(REQUEST_ID)?.parse().ok()?;
+    let bounds = DispatchBounds {
+        epoch: Epoch(number(EPOCH)?),
+        start_before: WallTime::from_millis(number(START_BEFORE)?),
+        run_limit: Duration::from_millis(number(RUN_LIMIT)?),
+    };
+    let team = TeamId::new("unknown").ok()?;
+    let request =
+        Request { id, service, class: Class::Batch, team, idempotent: false, deadline: Timestamp::MAX, body };
+    Some((request, bounds))
+}
+
+fn answer<T: Serialize>(result: Result<T, CallError>) -> Response {
+    match result {
+        Ok(value) => warp::reply::json(&value).into_response(),
+        Err(error) => failure(&error),
+    }
+}
+
+fn failure(error: &CallError) -> Response {
+    match error {
+        CallError::Rejected { reason, .. } => {
+            warp::reply::with_header(StatusCode::SERVICE_UNAVAILABLE, REJECTED, reason).into_response()
+        }
+        // Breaks the connection within the body, as a process that ends does. The address stays open for `POST /faults`;
+        // a refused connection takes ending the process.
+        CallError::NotSent { reason, .. } | CallError::Unknown { reason, .. } => {
+            let broken: Result<bytes::Bytes, std::io::Error> = Err(std::io::Error::other(reason.clone()));
+            warp::reply::stream(stream::iter([broken])).into_response()
+        }
+    }
+}
+
+/// Accepts connections and holds the guard of `open` while each is open.
+async fn accept<F, G>(listener: TcpListener, filter: F, open: impl Fn() -> G)
+where
+    F: Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Future: Send,
+    G: Send + 'static,
+{
+    let filter = filter.recover(rejected).unify();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        tokio::spawn(serve(stream, filter.clone(), open()));
+    }
+}
+
+async fn serve<F, G>(stream: TcpStream, filter: F, guard: G)
+where
+    F: Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static,
+    F::Future: Send,
+{
+    let _ = stream.set_nodelay(true);
+    let service = TowerToHyperService::new(warp::service(filter));
+    let builder = Builder::new(TokioExecutor::new());
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("connection ended: {error}");
+    }
+    drop(guard);
+}
+
+async fn rejected(rejection: warp::Rejection) -> Result<Response, Infallible> {
+    let status = if rejection.is_not_found() { StatusCode::NOT_FOUND } else { StatusCode::BAD_REQUEST };
+    Ok(warp::reply::with_status(format!("{rejection:?}"), status).into_response())
+}
