--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -3,6 +3,8 @@
 //! The library holds one module per duty. The decision logic of each is a state machine without I/O (see
 //! [`duty::Duty`]); actors and sockets wrap it.
 
+pub mod actor;
+pub mod api;
 pub mod clock;
 pub mod config;
 pub mod daemon;
@@ -16,7 +18,9 @@
 pub mod intent;
 pub mod job;
 pub mod lease;
+pub mod logging;
 pub mod membership;
+pub mod metrics;
 pub mod ownership;
 pub mod peer;
 pub mod placement;
