--- a/yuccahoist/src/config/validate.rs
+++ b/yuccahoist/src/config/validate.rs
@@ -66,9 +66,15 @@
     }
 
     /// Notes an error unless the number lies in a range.
-    fn range<T: PartialOrd + fmt::Display>(&mut self, path: impl Into<String>, value: T, low: T, high: T) {
+    fn range<T: PartialOrd + fmt::Display + Copy>(
+        &mut self,
+        path: impl Into<String>,
+        value: T,
+        low: T,
+        high: T,
+    ) {
         let ok = low <= value && value <= high;
-        self.check(ok, path, &value, format!("{low} to {high}"));
+        self.check(ok, path, value, format!("{low} to {high}"));
     }
 }
 
--- a/yuccahoist/src/stream/client.rs
+++ b/yuccahoist/src/stream/client.rs
@@ -26,6 +26,13 @@
 /// Records between two removals of silent producers.
 const PRUNE_INTERVAL: u64 = 4_096;
 
+/// Time, randomness and actions of one event.
+struct Turn<'a, E> {
+    now: Timestamp,
+    rng: &'a mut dyn Rng,
+    out: &'a mut Vec<StreamAction<E>>,
+}
+
 /// Client of one log stream.
 #[derive(Debug)]
 pub struct StreamClient<F: Fold> {
@@ -76,6 +83,7 @@
             producer,
             backoff: Backoff::new(&settings),
             timer: SnapshotTimer::new(&settings),
+            appender: Appender::new(&settings),
             settings,
             fold,
             snapshots,
@@ -83,7 +91,6 @@
             next: Offset(0),
             read_to: Offset(0),
             held: None,
-            appender: Appender::default(),
             reading: None,
             reads_ok: false,
             append_failed: None,
@@ -150,11 +157,9 @@
 
     fn read(
         &mut self,
-        now: Timestamp,
         asked: Timestamp,
         result: Result<ReadBatch, CallError>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<StreamAction<F::Effect>>,
+        turn: &mut Turn<'_, F::Effect>,
     ) {
         let from = self.reading.take();
         let batch = match result {
@@ -163,8 +168,8 @@
             Ok(batch) if self.is_sound(&batch) => batch,
             Ok(_) | Err(_) => {
                 self.reads_ok = false;
-                self.backoff.fail(now, rng);
-                self.ask_peer(now, !self.caught_up, out);
+                self.backoff.fail(turn.now, turn.rng);
+                self.ask_peer(turn.now, !self.caught_up, turn.out);
                 return;
             }
         };
@@ -173,7 +178,7 @@
         if self.append_failed.is_some_and(|failed| asked >= failed) {
             self.append_failed = None;
         }
-        self.take(now, batch, asked, rng, out);
+        self.take(batch, asked, turn);
     }
 
     /// Whether a batch leaves out no record between the reader and its own records, and the stream has not shrunk.
@@ -192,34 +197,27 @@
         batch.end >= expected
     }
 
-    fn take(
-        &mut self,
-        now: Timestamp,
-        batch: ReadBatch,
-        asked: Timestamp,
-        rng: &mut dyn Rng,
-        out: &mut Vec<StreamAction<F::Effect>>,
-    ) {
+    fn take(&mut self, batch: ReadBatch, asked: Timestamp, turn: &mut Turn<'_, F::Effect>) {
         if batch.earliest > self.read_to {
-            self.skip_gap(batch.earliest, out);
+            self.skip_gap(batch.earliest, turn.out);
         }
         for (offset, text) in batch.records {
             if offset >= self.read_to {
                 self.read_to = Offset(offset.0 + 1);
-                self.take_record(now, offset, &text, rng, out);
+                self.take_record(offset, &text, turn);
             }
         }
         if self.read_to < batch.end {
             return;
         }
         if self.held.is_some() {
-            self.ask_peer(now, true, out);
+            self.ask_peer(turn.now, true, turn.out);
             return;
         }
         self.caught_up = true;
-        self.timer.caught_up(now, batch.earliest, batch.end, rng);
+        self.timer.caught_up(turn.now, batch.earliest, batch.end, turn.rng);
         self.appender.reached_end(asked);
-        out.push(StreamAction::CaughtUp { asked });
+        turn.out.push(StreamAction::CaughtUp { asked });
     }
 
     /// Goes on behind records that the log no longer has.
@@ -234,14 +232,7 @@
         out.extend(lost.into_iter().map(|ticket| StreamAction::Unresolved { ticket }));
     }
 
-    fn take_record(
-        &mut self,
-        now: Timestamp,
-        offset: Offset,
-        text: &Bytes,
-        rng: &mut dyn Rng,
-        out: &mut Vec<StreamAction<F::Effect>>,
-    ) {
+    fn take_record(&mut self, offset: Offset, text: &Bytes, turn: &mut Turn<'_, F::Effect>) {
         let entry = Entry::<F::Record>::decode(text);
         if entry.is_none() {
             self.malformed += 1;
@@ -250,17 +241,17 @@
         let through = entry.as_ref().and_then(|entry| F::snapshot_through(&entry.body));
         let usable = through.is_some_and(|through| through < offset);
         if usable {
-            self.timer.seen(now, offset, self.caught_up, rng);
+            self.timer.seen(turn.now, offset, self.caught_up, turn.rng);
         }
         let Some(held) = &mut self.held else {
-            self.fold_record(offset, entry, out);
+            self.fold_record(offset, entry, turn.out);
             return;
         };
         if let Some(entry) = &entry {
             held.records.insert(offset, entry.clone());
         }
         if let (true, Some(entry), Some(through)) = (usable, entry, through) {
-            self.restore(entry, through, out);
+            self.restore(entry, through, turn.out);
         }
     }
 
@@ -271,7 +262,7 @@
         out: &mut Vec<StreamAction<F::Effect>>,
     ) {
         self.next = Offset(offset.0 + 1);
-        if offset.0 % PRUNE_INTERVAL == 0 {
+        if offset.0.is_multiple_of(PRUNE_INTERVAL) {
             self.producers.prune(self.next, window(self.name));
         }
         let Some(entry) = entry else { return };
@@ -357,17 +348,15 @@
 
     fn appended(
         &mut self,
-        now: Timestamp,
         seq: Sequence,
         result: &Result<Offset, CallError>,
-        rng: &mut dyn Rng,
-        out: &mut Vec<StreamAction<F::Effect>>,
+        turn: &mut Turn<'_, F::Effect>,
     ) {
         if result.is_err() {
-            self.append_failed = Some(now);
+            self.append_failed = Some(turn.now);
         }
-        let failed = self.appender.answered(now, seq, result, rng, &self.settings);
-        out.extend(failed.map(|ticket| StreamAction::Failed { ticket }));
+        let failed = self.appender.answered(turn.now, seq, result, turn.rng);
+        turn.out.extend(failed.map(|ticket| StreamAction::Failed { ticket }));
     }
 
     /// Queues a snapshot if one is due.
@@ -410,10 +399,11 @@
     type Action = StreamAction<F::Effect>;
 
     fn handle(&mut self, now: Timestamp, event: Self::Event, rng: &mut dyn Rng, out: &mut Vec<Self::Action>) {
+        let mut turn = Turn { now, rng, out };
         match event {
             StreamEvent::Append { ticket, record } => self.append(ticket, record, out),
-            StreamEvent::Appended { seq, result } => self.appended(now, seq, &result, rng, out),
-            StreamEvent::Read { asked, result } => self.read(now, asked, result, rng, out),
+            StreamEvent::Appended { seq, result } => self.appended(seq, &result, &mut turn),
+            StreamEvent::Read { asked, result } => self.read(asked, result, &mut turn),
             StreamEvent::Restore { record } => self.restore_from_peer(&record, out),
             StreamEvent::Tick => {}
         }
--- a/yuccahoist/src/stream/client/appender.rs
+++ b/yuccahoist/src/stream/client/appender.rs
@@ -54,11 +54,12 @@
     doubtful: bool,
     /// Records that the log confirmed and that are not read back, with their offsets.
     confirmed: VecDeque<(Own, Offset)>,
-    backoff: Option<Backoff>,
+    backoff: Backoff,
 }
 
-impl Default for Appender {
-    fn default() -> Self {
+impl Appender {
+    /// Empty queue.
+    pub(super) const fn new(settings: &StreamSettings) -> Self {
         Self {
             last_seq: Sequence(0),
             queue: VecDeque::new(),
@@ -66,12 +67,10 @@
             in_flight: None,
             doubtful: false,
             confirmed: VecDeque::new(),
-            backoff: None,
+            backoff: Backoff::new(settings),
         }
     }
-}
 
-impl Appender {
     /// Sequence number for a new record; a number that is not used does no harm.
     pub(super) fn next_seq(&mut self) -> Sequence {
         self.last_seq = Sequence(self.last_seq.0 + 1);
@@ -102,9 +101,8 @@
     /// Next step.
     pub(super) fn step(&mut self, now: Timestamp) -> Step {
         let waiting = self.in_flight.is_some() || self.in_doubt();
-        let resting = self.backoff.as_ref().is_some_and(|backoff| !backoff.is_over(now));
         let Some(own) = self.queue.front() else { return Step::Wait };
-        if waiting || resting {
+        if waiting || !self.backoff.is_over(now) {
             return Step::Wait;
         }
         self.head = Head::Sent;
@@ -119,7 +117,6 @@
         seq: Sequence,
         result: &Result<Offset, CallError>,
         rng: &mut dyn Rng,
-        settings: &StreamSettings,
     ) -> Option<u64> {
         if self.in_flight == Some(seq) {
             self.in_flight = None;
@@ -130,24 +127,24 @@
         }
         match result {
             Ok(offset) => {
-                self.backoff = None;
+                self.backoff.succeed();
                 let own = self.pop()?;
                 self.confirmed.push_back((own, *offset));
                 None
             }
             Err(CallError::Unknown { .. }) => {
-                self.rest(now, rng, settings);
+                self.backoff.fail(now, rng);
                 self.doubtful = true;
                 self.head = Head::InDoubt { since: now };
                 None
             }
             Err(CallError::NotSent { .. } | CallError::Rejected { .. }) if self.doubtful => {
-                self.rest(now, rng, settings);
+                self.backoff.fail(now, rng);
                 self.head = Head::InDoubt { since: now };
                 None
             }
             Err(CallError::NotSent { .. } | CallError::Rejected { .. }) => {
-                self.rest(now, rng, settings);
+                self.backoff.fail(now, rng);
                 self.pop()?.ticket
             }
         }
@@ -191,8 +188,4 @@
         self.doubtful = false;
         self.queue.pop_front()
     }
-
-    fn rest(&mut self, now: Timestamp, rng: &mut dyn Rng, settings: &StreamSettings) {
-        self.backoff.get_or_insert_with(|| Backoff::new(settings)).fail(now, rng);
-    }
 }
