Add front duty: one answer per call, routing, retries and intents

Idempotent requests are sent again within a budget. A non-idempotent request is forwarded only after its id was read back as the first in the log, and again only after an owner proved that it did not run.

--- /dev/null
+++ b/yuccahoist/src/front/budget.rs
@@ -0,0 +1,37 @@
+//! Budget for retries.
+
+/// Retries that are allowed before the first success.
+const INITIAL: f64 = 10.0;
+
+/// Most retries that can be saved up, so that only recent successes count.
+const SAVED_MAX: f64 = 64.0;
+
+/// Retries as a share of recent successes.
+#[derive(Debug)]
+pub(super) struct RetryBudget {
+    share: f64,
+    credit: f64,
+}
+
+impl RetryBudget {
+    pub(super) fn new() -> Self {
+        Self { share: 0.0, credit: INITIAL }
+    }
+
+    pub(super) fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.credit = (self.credit + self.share).min(SAVED_MAX);
+    }
+
+    /// Takes one retry if the budget allows it.
+    pub(super) fn take(&mut self) -> bool {
+        let allowed = self.share > 0.0 && self.credit >= 1.0;
+        if allowed {
+            self.credit -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/front/delivery.rs
@@ -0,0 +1,394 @@
+//! Requests on their way to an owner: routing, acceptance, retries.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::dispatch::ForwardId;
+use crate::front::budget::RetryBudget;
+use crate::front::owners::Owners;
+use crate::front::{CallId, FrontAction, RouteCandidate, RouteDecision, RoutePolicy};
+use crate::id::{Incarnation, RequestId, ShardId};
+use crate::request::{Doubt, Outcome, Refusal, Request};
+use crate::unit::Timestamp;
+
+/// Time for an owner to accept a request.
+const ACCEPT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Forwards of one request, over all owners.
+const FORWARD_LIMIT: u32 = 6;
+
+/// What a forward is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Target {
+    /// Idempotent request of a call; may be sent again.
+    Call(CallId),
+    /// Non-idempotent request, which several calls may wait for; sent again only if it provably did not run.
+    Id(RequestId),
+}
+
+impl Target {
+    fn may_repeat(self) -> bool {
+        matches!(self, Self::Call(_))
+    }
+}
+
+/// Request on its way.
+#[derive(Debug)]
+struct Delivery {
+    request: Request,
+    /// Forwards without an outcome.
+    open: BTreeMap<ForwardId, Attempt>,
+    /// Last forward.
+    current: Option<ForwardId>,
+    sent: u32,
+    avoid: BTreeSet<ShardId>,
+    /// Why an earlier forward may have run.
+    doubt: Option<Doubt>,
+    /// Whether another owner has been tried after one was overloaded.
+    spilled: bool,
+}
+
+/// One forward.
+#[derive(Debug, Clone)]
+struct Attempt {
+    owner: Incarnation,
+    shard: ShardId,
+    sent: Timestamp,
+    accepted: bool,
+}
+
+/// What becomes of a request after an event.
+type Conclusion = Option<(Target, Outcome)>;
+
+/// All requests on their way.
+#[derive(Debug)]
+pub(super) struct Deliveries {
+    own: Incarnation,
+    policy: Box<dyn RoutePolicy>,
+    pub(super) owners: Owners,
+    pub(super) budget: RetryBudget,
+    next: u64,
+    open: BTreeMap<Target, Delivery>,
+    forwards: BTreeMap<ForwardId, Target>,
+    unaccepted: BTreeSet<(Timestamp, ForwardId)>,
+}
+
+impl Deliveries {
+    pub(super) fn new(own: Incarnation, policy: Box<dyn RoutePolicy>) -> Self {
+        Self {
+            own,
+            policy,
+            owners: Owners::default(),
+            budget: RetryBudget::new(),
+            next: 0,
+            open: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            unaccepted: BTreeSet::new(),
+        }
+    }
+
+    /// Forwards a request. The outcome is returned if it is refused at once.
+    pub(super) fn start(
+        &mut self,
+        now: Timestamp,
+        (target, request): (Target, Request),
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Option<Outcome> {
+        let delivery = Delivery {
+            request,
+            open: BTreeMap::new(),
+            current: None,
+            sent: 0,
+            avoid: BTreeSet::new(),
+            doubt: None,
+            spilled: false,
+        };
+        self.open.insert(target, delivery);
+        self.forward_or(now, target, Refusal::NoOwner, rng, out).map(|(_, outcome)| outcome)
+    }
+
+    pub(super) fn accepted(&mut self, forward: ForwardId) {
+        let Some(target) = self.forwards.get(&forward) else { return };
+        let attempt = self.open.get_mut(target).and_then(|delivery| delivery.open.get_mut(&forward));
+        if let Some(attempt) = attempt {
+            attempt.accepted = true;
+            self.unaccepted.remove(&(attempt.sent, forward));
+        }
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        now: Timestamp,
+        (forward, outcome): (ForwardId, Outcome),
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        let (target, attempt) = self.close_forward(forward)?;
+        match outcome {
+            Outcome::Answered(_) => {
+                self.budget.succeeded();
+                self.conclude(target, outcome, out)
+            }
+            Outcome::NotRun(refusal) => self.refused(now, (target, forward, attempt), refusal, rng, out),
+            Outcome::Unknown(doubt) => self.doubted(now, (target, forward, attempt), doubt, rng, out),
+        }
+    }
+
+    pub(super) fn not_sent(
+        &mut self,
+        now: Timestamp,
+        forward: ForwardId,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        let (target, attempt) = self.close_forward(forward)?;
+        self.owners.set_silent(attempt.owner);
+        self.refused(now, (target, forward, attempt), Refusal::NoOwner, rng, out)
+    }
+
+    pub(super) fn owner_lost(
+        &mut self,
+        now: Timestamp,
+        forward: ForwardId,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        let (target, attempt) = self.close_forward(forward)?;
+        self.owners.set_silent(attempt.owner);
+        self.doubted(now, (target, forward, attempt), Doubt::OwnerLost, rng, out)
+    }
+
+    /// Handles forwards that were not accepted in time.
+    pub(super) fn tick(
+        &mut self,
+        now: Timestamp,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Vec<(Target, Outcome)> {
+        let mut conclusions = Vec::new();
+        while let Some((sent, forward)) = self.unaccepted.first().copied() {
+            if now.since(sent) < ACCEPT_LIMIT {
+                break;
+            }
+            self.unaccepted.pop_first();
+            conclusions.extend(self.unanswered(now, forward, rng, out));
+        }
+        conclusions
+    }
+
+    /// Gives up a request. Returns whether it may have run or may still run.
+    pub(super) fn abandon(&mut self, target: Target, out: &mut Vec<FrontAction>) -> bool {
+        let Some(delivery) = self.open.remove(&target) else { return false };
+        let doubtful = delivery.doubt.is_some() || !delivery.open.is_empty();
+        for (forward, attempt) in delivery.open {
+            self.forwards.remove(&forward);
+            self.unaccepted.remove(&(attempt.sent, forward));
+            if target.may_repeat() {
+                out.push(FrontAction::Withdraw { forward, to: attempt.owner });
+            }
+        }
+        doubtful
+    }
+
+    fn close_forward(&mut self, forward: ForwardId) -> Option<(Target, Attempt)> {
+        let target = self.forwards.remove(&forward)?;
+        let attempt = self.open.get_mut(&target)?.open.remove(&forward)?;
+        self.unaccepted.remove(&(attempt.sent, forward));
+        Some((target, attempt))
+    }
+
+    fn conclude(&mut self, target: Target, outcome: Outcome, out: &mut Vec<FrontAction>) -> Conclusion {
+        self.abandon(target, out);
+        Some((target, outcome))
+    }
+
+    /// Handles a forward that provably did not run.
+    fn refused(
+        &mut self,
+        now: Timestamp,
+        (target, forward, attempt): (Target, ForwardId, Attempt),
+        refusal: Refusal,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        let delivery = self.open.get_mut(&target)?;
+        if delivery.current != Some(forward) {
+            return self.give_up_unless_current(target, refusal, out);
+        }
+        let elsewhere = match refusal {
+            Refusal::NotOwner | Refusal::NoOwner | Refusal::Stopping => true,
+            Refusal::Overloaded { .. } => !std::mem::replace(&mut delivery.spilled, true),
+            _ => false,
+        };
+        delivery.current = None;
+        delivery.avoid.insert(attempt.shard);
+        if !elsewhere {
+            return self.give_up(target, refusal, out);
+        }
+        if refusal == Refusal::NoOwner {
+            self.allow_same_shard(now, target);
+        }
+        if matches!(refusal, Refusal::Overloaded { .. }) && !self.any_free(now, target) {
+            return self.give_up(target, refusal, out);
+        }
+        self.forward_or(now, target, refusal, rng, out)
+    }
+
+    /// Handles a forward that may have run.
+    fn doubted(
+        &mut self,
+        now: Timestamp,
+        (target, forward, attempt): (Target, ForwardId, Attempt),
+        doubt: Doubt,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        let delivery = self.open.get_mut(&target)?;
+        delivery.doubt = Some(doubt);
+        if delivery.current != Some(forward) {
+            return self.give_up_unless_current(target, Refusal::NoOwner, out);
+        }
+        delivery.current = None;
+        delivery.avoid.insert(attempt.shard);
+        if target.may_repeat() && self.may_retry(now, target) {
+            return self.forward_or(now, target, Refusal::NoOwner, rng, out);
+        }
+        self.give_up(target, Refusal::NoOwner, out)
+    }
+
+    /// Handles a forward that the owner did not accept in time.
+    fn unanswered(
+        &mut self,
+        now: Timestamp,
+        forward: ForwardId,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        let target = *self.forwards.get(&forward)?;
+        let delivery = self.open.get_mut(&target)?;
+        let attempt = delivery.open.get(&forward)?.clone();
+        self.owners.set_silent(attempt.owner);
+        if delivery.current != Some(forward) || !target.may_repeat() {
+            return None;
+        }
+        delivery.avoid.insert(attempt.shard);
+        if !self.may_retry(now, target) {
+            return None;
+        }
+        out.push(FrontAction::Withdraw { forward, to: attempt.owner });
+        // The first owner may still answer; its forward stays open.
+        self.forward(now, target, rng, out);
+        None
+    }
+
+    fn may_retry(&mut self, now: Timestamp, target: Target) -> bool {
+        let Some(delivery) = self.open.get(&target) else { return false };
+        let request = &delivery.request;
+        now < request.deadline
+            && delivery.sent < FORWARD_LIMIT
+            && !self.candidates(now, delivery).is_empty()
+            && self.budget.take()
+    }
+
+    fn candidates(&self, now: Timestamp, delivery: &Delivery) -> Vec<RouteCandidate> {
+        let request = &delivery.request;
+        self.owners.candidates(now, self.own, (&request.service, request.class), &delivery.avoid)
+    }
+
+    fn any_free(&self, now: Timestamp, target: Target) -> bool {
+        let Some(delivery) = self.open.get(&target) else { return false };
+        self.candidates(now, delivery).iter().any(|candidate| candidate.free > 0)
+    }
+
+    /// Lets a request go to the same shard again, to another worker, when there is no other shard.
+    fn allow_same_shard(&mut self, now: Timestamp, target: Target) {
+        let Some(delivery) = self.open.get(&target) else { return };
+        if self.candidates(now, delivery).is_empty()
+            && let Some(delivery) = self.open.get_mut(&target)
+        {
+            delivery.avoid.clear();
+        }
+    }
+
+    fn give_up_unless_current(
+        &mut self,
+        target: Target,
+        refusal: Refusal,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        if self.open.get(&target)?.current.is_some() {
+            return None;
+        }
+        self.give_up(target, refusal, out)
+    }
+
+    /// Ends a request for which no other owner is tried, unless an earlier forward may still answer.
+    fn give_up(&mut self, target: Target, refusal: Refusal, out: &mut Vec<FrontAction>) -> Conclusion {
+        let delivery = self.open.get(&target)?;
+        if !delivery.open.is_empty() {
+            return None;
+        }
+        let outcome = delivery.doubt.clone().map_or(Outcome::NotRun(refusal), Outcome::Unknown);
+        self.conclude(target, outcome, out)
+    }
+
+    /// Forwards a request to an owner that has not been tried, or ends it.
+    fn forward_or(
+        &mut self,
+        now: Timestamp,
+        target: Target,
+        refusal: Refusal,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> Conclusion {
+        if self.forward(now, target, rng, out) {
+            return None;
+        }
+        if let Some(delivery) = self.open.get(&target) {
+            let reason = "no owner left to try".into();
+            let request = delivery.request.id;
+            let decision = RouteDecision { request, chosen: None, runner_up: None, reason };
+            out.push(FrontAction::Decision(decision));
+        }
+        self.give_up(target, refusal, out)
+    }
+
+    fn forward(
+        &mut self,
+        now: Timestamp,
+        target: Target,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) -> bool {
+        let Some(delivery) = self.open.get(&target) else { return false };
+        if delivery.sent >= FORWARD_LIMIT || now >= delivery.request.deadline {
+            return false;
+        }
+        let candidates = self.candidates(now, delivery);
+        let Some(route) = self.policy.choose(delivery.request.class, &candidates, rng) else { return false };
+        let chosen = &candidates[route.chosen];
+        let runner_up = route.runner_up.map(|index| candidates[index].shard.clone());
+        let forward = ForwardId { front: self.own, number: self.next };
+        self.next += 1;
+        self.owners.sent(&chosen.shard);
+        let Some(delivery) = self.open.get_mut(&target) else { return false };
+        let (owner, shard) = (chosen.owner, chosen.shard.clone());
+        delivery.open.insert(forward, Attempt { owner, shard: shard.clone(), sent: now, accepted: false });
+        delivery.current = Some(forward);
+        delivery.sent += 1;
+        self.forwards.insert(forward, target);
+        self.unaccepted.insert((now, forward));
+        let request = delivery.request.clone();
+        out.push(FrontAction::Decision(RouteDecision {
+            request: request.id,
+            chosen: Some(shard.clone()),
+            runner_up,
+            reason: route.reason.into(),
+        }));
+        out.push(FrontAction::Forward { forward, to: owner, shard, request });
+        true
+    }
+}
--- a/yuccahoist/src/front/mod.rs
+++ b/yuccahoist/src/front/mod.rs
@@ -1,21 +1,60 @@
 //! Receiving host: routes requests to owners and answers callers.
+//!
+//! Idempotent requests belong to their call and may be sent again within a budget. Non-idempotent requests belong to
+//! their id: the id is appended to the `intents` stream and read back, and only the first record of an id permits one
+//! forward. Several calls with the same id wait for the same outcome.
 
+mod batch;
+mod budget;
+mod delivery;
 mod message;
+mod owners;
+mod register;
 mod route;
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
 use rand::Rng;
 
+use self::batch::Batches;
+use self::delivery::{Deliveries, Target};
 pub use self::message::*;
+use self::register::{Entry, Register, Stage, digest};
 pub use self::route::{LoadAware, RandomOwner, Route, RouteCandidate, RoutePolicy};
 use crate::duty::Duty;
-use crate::id::Incarnation;
-use crate::unit::Timestamp;
+use crate::id::{Incarnation, RequestId};
+use crate::request::{Doubt, Outcome, Refusal, Request};
+use crate::unit::{Timestamp, WallTime};
+
+/// Time before its deadline at which a call is answered at the latest.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10); // one tick, so that the answer is never late
+
+/// Time between two queries for the answer of another host.
+const QUERY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Open call.
+#[derive(Debug)]
+struct Call {
+    id: RequestId,
+    deadline: Timestamp,
+    idempotent: bool,
+}
 
 /// Front duty of one host.
 #[derive(Debug)]
 pub struct Front {
     incarnation: Incarnation,
-    policy: Box<dyn RoutePolicy>,
+    limits: Option<FrontLimits>,
+    calls: BTreeMap<CallId, Call>,
+    deadlines: BTreeSet<(Timestamp, CallId)>,
+    deliveries: Deliveries,
+    register: Register,
+    batches: Batches,
+    /// Wall-clock time with the monotonic time at which it was read.
+    wall: (WallTime, Timestamp),
+    log: bool,
+    stopping: bool,
 }
 
 impl Front {
@@ -28,26 +67,443 @@
     /// Front with another routing policy.
     #[must_use]
     pub fn with_policy(incarnation: Incarnation, policy: Box<dyn RoutePolicy>) -> Self {
-        Self { incarnation, policy }
+        Self {
+            incarnation,
+            limits: None,
+            calls: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            deliveries: Deliveries::new(incarnation, policy),
+            register: Register::default(),
+            batches: Batches::default(),
+            wall: (WallTime::default(), Timestamp::ZERO),
+            log: false,
+            stopping: false,
+        }
     }
 
     /// Whether no call is open; a planned stop may go on.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.incarnation == Incarnation(0) && self.policy.name().is_empty()
+        self.calls.is_empty()
+    }
+
+    /// Memory of the answers and requests that are kept for duplicates, bytes.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        self.register.bytes()
+    }
+
+    fn wall_at(&self, now: Timestamp) -> WallTime {
+        self.wall.0.plus(now.since(self.wall.1))
+    }
+
+    fn horizon(&self, now: Timestamp) -> WallTime {
+        let window = self.limits.as_ref().map_or(Duration::ZERO, |limits| limits.id_window);
+        self.wall_at(now).minus(window)
+    }
+
+    fn call(
+        &mut self,
+        now: Timestamp,
+        (call, wall, request): (CallId, WallTime, Request),
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) {
+        if self.calls.contains_key(&call) {
+            return;
+        }
+        self.wall = (wall, now);
+        let (id, deadline, idempotent) = (request.id, request.deadline, request.idempotent);
+        if let Some((refusal, reason)) = self.admission(now, wall, &request) {
+            return refuse(call, id, refusal, reason, out);
+        }
+        self.calls.insert(call, Call { id, deadline, idempotent });
+        self.deadlines.insert((deadline, call));
+        if !idempotent {
+            self.register_call(now, call, request, rng, out);
+        } else if let Some(outcome) = self.deliveries.start(now, (Target::Call(call), request), rng, out) {
+            self.respond(call, outcome, out);
+        }
+    }
+
+    /// Reason to refuse a call at arrival.
+    fn admission(
+        &self,
+        now: Timestamp,
+        wall: WallTime,
+        request: &Request,
+    ) -> Option<(Refusal, &'static str)> {
+        let Some(limits) = &self.limits else {
+            return Some((Refusal::NotReady, "no configuration in force"));
+        };
+        let created = request.id.created();
+        if self.stopping {
+            Some((Refusal::Stopping, "host is stopping"))
+        } else if !limits.services.contains(&request.service) {
+            Some((Refusal::UnknownService, "service is not in the configuration"))
+        } else if !limits.teams.contains(&request.team) {
+            Some((Refusal::UnknownTeam, "team is not in the configuration"))
+        } else if created < wall.minus(limits.id_window) {
+            Some((Refusal::IdTooOld, "id is older than the id window"))
+        } else if created > wall.plus(limits.clock_skew) {
+            Some((Refusal::IdInFuture, "id is newer than the allowed clock difference"))
+        } else if now >= request.deadline {
+            Some((Refusal::Expired, "deadline passed at arrival"))
+        } else {
+            None
+        }
+    }
+
+    /// Takes a call with a non-idempotent request.
+    fn register_call(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        request: Request,
+        rng: &mut dyn Rng,
+        out: &mut Vec<FrontAction>,
+    ) {
+        let id = request.id;
+        let (stage, first) = match self.register.get(id) {
+            Some(entry) if entry.digest != digest(&request) => {
+                return self.respond(call, Outcome::NotRun(Refusal::IdReused), out);
+            }
+            Some(entry) => (Some(entry.stage.clone()), entry.first),
+            None => (None, false),
+        };
+        match stage {
+            Some(Stage::Done(outcome)) => return self.respond(call, outcome, out),
+            None | Some(Stage::Idle(_)) if !first => {
+                if let Some(refusal) = self.intent_refusal(now, &request) {
+                    return self.respond(call, Outcome::NotRun(refusal), out);
+                }
+            }
+            _ => {}
+        }
+        if stage.is_none() {
+            self.register.insert(id, Entry::new(&request));
+        }
+        self.register.update(id, |entry| entry.attach(call, request));
+        match stage {
+            Some(Stage::Elsewhere { first, .. }) => self.ask(now, id, first, out),
+            Some(Stage::Idle(_)) if first => self.forward_once(now, id, rng, out),
+            None | Some(Stage::Idle(_)) => {
+                self.set_stage(id, Stage::Pending);
+                self.batches.push(id);
+                self.flush(now, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Reason not to append an id.
+    fn intent_refusal(&self, now: Timestamp, request: &Request) -> Option<Refusal> {
+        if !self.log {
+            return Some(Refusal::LogUnavailable);
+        }
+        let retry = self.batches.delay(now).unwrap_or(Duration::from_secs(1));
+        let possible = self.batches.delay(now).is_some_and(|delay| now + delay < request.deadline);
+        (!possible).then_some(Refusal::IntentBudget { retry })
+    }
+
+    fn set_stage(&mut self, id: RequestId, stage: Stage) {
+        self.register.update(id, |entry| entry.stage = stage);
+    }
+
+    /// Appends the next batch of ids, if the budget allows it.
+    fn flush(&mut self, now: Timestamp, out: &mut Vec<FrontAction>) {
+        if !self.log {
+            return;
+        }
+        let register = &self.register;
+        let pending = |id| register.get(id).is_some_and(|entry| entry.stage == Stage::Pending);
+        if let Some(ids) = self.batches.take(now, pending) {
+            out.push(FrontAction::AppendIntents { ids, horizon: self.horizon(now) });
+        }
+    }
+
+    fn intent_first(&mut self, now: Timestamp, id: RequestId, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+        self.batches.resolved(id);
+        let Some(stage) = self.register.update(id, |entry| {
+            let again = std::mem::replace(&mut entry.first, true);
+            (!again).then(|| entry.stage.clone())
+        }) else {
+            return;
+        };
+        if stage == Some(Stage::Pending) {
+            self.forward_once(now, id, rng, out);
+        }
+    }
+
+    /// Forwards a request whose id was appended by this host first, if a call still waits for it.
+    fn forward_once(&mut self, now: Timestamp, id: RequestId, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+        let Some(entry) = self.register.get(id) else { return };
+        let Some(request) = entry.request.clone() else { return };
+        let latest =
+            entry.calls.iter().filter_map(|call| self.calls.get(call)).map(|call| call.deadline).max();
+        let Some(deadline) = latest.filter(|deadline| now < *deadline) else {
+            return self.set_stage(id, Stage::Idle(Refusal::Expired));
+        };
+        self.register.update(id, |entry| (entry.stage, entry.request) = (Stage::Sent, None));
+        let request = Request { deadline, ..request };
+        if let Some(outcome) = self.deliveries.start(now, (Target::Id(id), request), rng, out) {
+            self.conclude(id, outcome, out);
+        }
+    }
+
+    fn intent_duplicate(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        first: Incarnation,
+        out: &mut Vec<FrontAction>,
+    ) {
+        self.batches.resolved(id);
+        let Some(entry) = self.register.get(id) else { return };
+        if entry.first || !matches!(entry.stage, Stage::Pending | Stage::Idle(_)) {
+            return;
+        }
+        if first == self.incarnation {
+            // The earlier entry was dropped, so whether it was forwarded is not known any more.
+            return self.conclude(id, Outcome::Unknown(Doubt::Duplicate), out);
+        }
+        let waiting = !entry.calls.is_empty();
+        self.set_stage(id, Stage::Elsewhere { first, asked: now });
+        if waiting {
+            self.ask(now, id, first, out);
+        }
+    }
+
+    fn intent_too_old(&mut self, id: RequestId, out: &mut Vec<FrontAction>) {
+        self.batches.resolved(id);
+        if self.register.get(id).is_some_and(|entry| entry.stage == Stage::Pending) {
+            self.conclude(id, Outcome::NotRun(Refusal::IdTooOld), out);
+        }
+    }
+
+    /// Refuses requests whose record was not read back. Should it take effect later, it permits a later call only.
+    fn intent_failed(&mut self, ids: &[RequestId], out: &mut Vec<FrontAction>) {
+        for id in ids {
+            self.batches.resolved(*id);
+            if self.register.get(*id).is_some_and(|entry| entry.stage == Stage::Pending) {
+                self.conclude(*id, Outcome::NotRun(Refusal::LogUnavailable), out);
+            }
+        }
+    }
+
+    fn log_available(&mut self, available: bool, out: &mut Vec<FrontAction>) {
+        if available && !self.log {
+            self.batches.clear_in_flight();
+        }
+        self.log = available;
+        if !available {
+            self.batches.clear_pending();
+            let ids = self.register.ids(|entry| entry.stage == Stage::Pending);
+            for id in ids {
+                self.conclude(id, Outcome::NotRun(Refusal::LogUnavailable), out);
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Timestamp, id: RequestId, first: Incarnation, out: &mut Vec<FrontAction>) {
+        let asked = self.register.update(id, |entry| {
+            entry.stage = Stage::Elsewhere { first, asked: now };
+            entry.digest
+        });
+        if let Some(digest) = asked {
+            out.push(FrontAction::QueryAnswer { to: first, id, digest });
+        }
+    }
+
+    /// Answers another host that has a duplicate of a request that this host appended first.
+    fn answer_query(&mut self, from: Incarnation, id: RequestId, digest: u64, out: &mut Vec<FrontAction>) {
+        let outcome = match self.register.get(id) {
+            Some(entry) if entry.digest != digest => Outcome::NotRun(Refusal::IdReused),
+            Some(Entry { stage: Stage::Done(outcome), .. }) => outcome.clone(),
+            Some(Entry { stage: Stage::Idle(refusal), .. }) => Outcome::NotRun(refusal.clone()),
+            Some(Entry { stage: Stage::Pending | Stage::Sent, .. }) => {
+                self.register.update(id, |entry| entry.queries.insert(from));
+                return;
+            }
+            Some(Entry { stage: Stage::Elsewhere { .. }, .. }) | None => Outcome::Unknown(Doubt::Duplicate),
+        };
+        out.push(FrontAction::ReplyAnswer { to: from, id, outcome });
+    }
+
+    fn answer_reply(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<FrontAction>) {
+        let Some(entry) = self.register.get(id) else { return };
+        if !matches!(entry.stage, Stage::Elsewhere { .. }) {
+            return;
+        }
+        if matches!(outcome, Outcome::Answered(_)) {
+            return self.conclude(id, outcome, out);
+        }
+        // Not kept: the first host may answer otherwise when it is asked again.
+        for call in entry.calls.clone() {
+            self.respond(call, outcome.clone(), out);
+        }
+    }
+
+    /// Ends a non-idempotent request and answers all who wait for it.
+    fn conclude(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<FrontAction>) {
+        let stage = match &outcome {
+            Outcome::NotRun(refusal) => Stage::Idle(refusal.clone()),
+            _ => Stage::Done(outcome.clone()),
+        };
+        let Some((calls, queries)) = self.register.update(id, |entry| {
+            entry.stage = stage;
+            entry.request = None;
+            (entry.calls.clone(), std::mem::take(&mut entry.queries))
+        }) else {
+            return;
+        };
+        for call in calls {
+            self.respond(call, outcome.clone(), out);
+        }
+        for to in queries {
+            out.push(FrontAction::ReplyAnswer { to, id, outcome: outcome.clone() });
+        }
+    }
+
+    /// Ends a request that was forwarded.
+    fn settle(&mut self, conclusion: Option<(Target, Outcome)>, out: &mut Vec<FrontAction>) {
+        match conclusion {
+            Some((Target::Call(call), outcome)) => self.respond(call, outcome, out),
+            Some((Target::Id(id), outcome)) => self.conclude(id, outcome, out),
+            None => {}
+        }
+    }
+
+    /// Answers a call, if it is still open.
+    fn respond(&mut self, call: CallId, outcome: Outcome, out: &mut Vec<FrontAction>) {
+        let Some(open) = self.calls.remove(&call) else { return };
+        self.deadlines.remove(&(open.deadline, call));
+        if !open.idempotent {
+            self.register.update(open.id, |entry| entry.calls.remove(&call));
+        }
+        out.push(FrontAction::Respond { call, id: open.id, outcome });
+    }
+
+    /// Ends a call without an outcome of its request: its deadline has come or its caller has gone.
+    fn cut_off(&mut self, call: CallId, out: &mut Vec<FrontAction>) {
+        let Some(open) = self.calls.get(&call) else { return };
+        let (id, idempotent) = (open.id, open.idempotent);
+        let outcome = if idempotent {
+            let doubtful = self.deliveries.abandon(Target::Call(call), out);
+            if doubtful {
+                Outcome::Unknown(Doubt::DeadlineAfterDispatch)
+            } else {
+                Outcome::NotRun(Refusal::Expired)
+            }
+        } else {
+            self.outcome_at_deadline(id)
+        };
+        self.respond(call, outcome, out);
+        let left = self.register.get(id).is_some_and(|entry| entry.calls.is_empty());
+        if !idempotent && left && self.register.get(id).is_some_and(|entry| entry.stage == Stage::Pending) {
+            self.conclude(id, Outcome::NotRun(Refusal::Expired), out);
+        }
+    }
+
+    fn outcome_at_deadline(&self, id: RequestId) -> Outcome {
+        match self.register.get(id).map(|entry| &entry.stage) {
+            Some(Stage::Pending | Stage::Idle(_)) => Outcome::NotRun(Refusal::Expired),
+            Some(Stage::Sent) => Outcome::Unknown(Doubt::DeadlineAfterDispatch),
+            Some(Stage::Done(outcome)) => outcome.clone(),
+            Some(Stage::Elsewhere { .. }) | None => Outcome::Unknown(Doubt::Duplicate),
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+        for conclusion in self.deliveries.tick(now, rng, out) {
+            self.settle(Some(conclusion), out);
+        }
+        while let Some((deadline, call)) = self.deadlines.first().copied() {
+            if now + ANSWER_MARGIN < deadline {
+                break;
+            }
+            self.cut_off(call, out);
+        }
+        self.ask_again(now, out);
+        for id in self.register.trim(self.horizon(now)) {
+            self.deliveries.abandon(Target::Id(id), out);
+        }
+        self.flush(now, out);
+    }
+
+    /// Repeats queries that may have been lost.
+    fn ask_again(&mut self, now: Timestamp, out: &mut Vec<FrontAction>) {
+        let open = self.calls.values().filter(|call| !call.idempotent).map(|call| call.id);
+        let due: BTreeMap<RequestId, Incarnation> = open
+            .filter_map(|id| match self.register.get(id)?.stage {
+                Stage::Elsewhere { first, asked } if now.since(asked) >= QUERY_INTERVAL => Some((id, first)),
+                _ => None,
+            })
+            .collect();
+        for (id, first) in due {
+            self.ask(now, id, first, out);
+        }
     }
 }
 
+fn refuse(call: CallId, id: RequestId, refusal: Refusal, reason: &str, out: &mut Vec<FrontAction>) {
+    let reason = reason.into();
+    out.push(FrontAction::Decision(RouteDecision { request: id, chosen: None, runner_up: None, reason }));
+    out.push(FrontAction::Respond { call, id, outcome: Outcome::NotRun(refusal) });
+}
+
 impl Duty for Front {
     type Event = FrontEvent;
     type Action = FrontAction;
 
-    fn handle(
-        &mut self,
-        _now: Timestamp,
-        _event: Self::Event,
-        _rng: &mut dyn Rng,
-        _out: &mut Vec<Self::Action>,
-    ) {
+    fn handle(&mut self, now: Timestamp, event: FrontEvent, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+        match event {
+            FrontEvent::Call { call, wall, request } => self.call(now, (call, wall, request), rng, out),
+            FrontEvent::Hangup { call } => self.cut_off(call, out),
+            FrontEvent::Limits(limits) => {
+                self.deliveries.budget.set_share(limits.retry_share);
+                self.batches.set_limits(limits.intent_rate, limits.intent_batch);
+                self.limits = Some(limits);
+            }
+            FrontEvent::Load { owner, shards } => self.deliveries.owners.set_load(now, owner, shards),
+            FrontEvent::Owner { shard, owner } => self.deliveries.owners.set_owner(shard, owner),
+            FrontEvent::Suspected { incarnation, suspected } => {
+                self.deliveries.owners.set_suspected(incarnation, suspected);
+            }
+            FrontEvent::Accepted { forward } => self.deliveries.accepted(forward),
+            FrontEvent::Finished { forward, outcome } => {
+                let conclusion = self.deliveries.finished(now, (forward, outcome), rng, out);
+                self.settle(conclusion, out);
+            }
+            FrontEvent::NotSent { forward } => {
+                let conclusion = self.deliveries.not_sent(now, forward, rng, out);
+                self.settle(conclusion, out);
+            }
+            FrontEvent::OwnerLost { forward } => {
+                let conclusion = self.deliveries.owner_lost(now, forward, rng, out);
+                self.settle(conclusion, out);
+            }
+            FrontEvent::IntentFirst { id } => {
+                self.intent_first(now, id, rng, out);
+                self.flush(now, out);
+            }
+            FrontEvent::IntentDuplicate { id, first } => {
+                self.intent_duplicate(now, id, first, out);
+                self.flush(now, out);
+            }
+            FrontEvent::IntentTooOld { id } => {
+                self.intent_too_old(id, out);
+                self.flush(now, out);
+            }
+            FrontEvent::IntentFailed { ids } => {
+                self.intent_failed(&ids, out);
+                self.flush(now, out);
+            }
+            FrontEvent::LogAvailable(available) => self.log_available(available, out),
+            FrontEvent::AnswerQuery { from, id, digest } => self.answer_query(from, id, digest, out),
+            FrontEvent::AnswerReply { id, outcome } => self.answer_reply(id, outcome, out),
+            FrontEvent::Stop => self.stopping = true,
+            FrontEvent::Tick => self.tick(now, rng, out),
+        }
     }
 }
