--- a/yuccahoist/src/placement/owner.rs
+++ b/yuccahoist/src/placement/owner.rs
@@ -39,6 +39,13 @@
 /// Part of its processors that a throttled task keeps: one in this many.
 const THROTTLE_PART: u64 = 2;
 
+/// Time, randomness and receiver of actions while an event is handled.
+struct Turn<'a> {
+    now: Timestamp,
+    rng: &'a mut dyn Rng,
+    out: &'a mut Vec<PlacementAction>,
+}
+
 /// Result of a command.
 struct Answer {
     ticket: u64,
@@ -161,25 +168,25 @@
         }
     }
 
-    fn grant(&mut self, now: Timestamp, shard: ShardId, grant: Grant) {
-        let known = self.shards.get(&shard).map(|owned| owned.grant.epoch);
+    fn grant(&mut self, now: Timestamp, shard: &ShardId, grant: Grant) {
+        let known = self.shards.get(shard).map(|owned| owned.grant.epoch);
         if known.is_some_and(|epoch| grant.epoch < epoch) {
             return;
         }
         if known != Some(grant.epoch) {
-            self.drop_shard(&shard);
+            self.drop_shard(shard);
             let owned = Shard { grant: grant.clone(), full: None, index: WorkerIndex::default() };
             self.shards.insert(shard.clone(), owned);
-            self.add_workers(now, &shard);
+            self.add_workers(now, shard);
         }
-        let Some(owned) = self.shards.get_mut(&shard) else { return };
+        let Some(owned) = self.shards.get_mut(shard) else { return };
         let opened = (owned.grant.tasks, owned.grant.share) != (grant.tasks, grant.share);
         if grant.share == Share::Full && owned.full.is_none() {
             owned.full = Some(now);
         }
         owned.grant = grant;
         if opened {
-            self.refresh_shard(now, &shard);
+            self.refresh_shard(now, shard);
         }
     }
 
@@ -306,14 +313,13 @@
         let Some(partition) = self.partitions.get(&held.start.team) else { return };
         let Some(to) = self.reservations.coordinator(*partition) else { return };
         let body = ShardReplyBody::Changed(held.report(&worker.spec));
-        self.reply(to, *partition, &worker.spec.shard, body, out);
+        self.reply(to, (*partition, &worker.spec.shard), body, out);
     }
 
     fn reply(
         &self,
         to: Incarnation,
-        partition: PartitionId,
-        shard: &ShardId,
+        (partition, shard): (PartitionId, &ShardId),
         body: ShardReplyBody,
         out: &mut Vec<PlacementAction>,
     ) {
@@ -368,11 +374,11 @@
         match event {
             PlacementEvent::Workers(specs) => self.configure(now, specs),
             PlacementEvent::Granted { shard, grant } => {
-                self.grant(now, shard, grant);
+                self.grant(now, &shard, grant);
                 self.serve_due(now, out);
             }
             PlacementEvent::Lost { shard, epoch } => self.lost(&shard, epoch),
-            PlacementEvent::Request { from, request } => self.request(now, from, request, rng, out),
+            PlacementEvent::Request { from, request } => self.request(Turn { now, rng, out }, from, request),
             PlacementEvent::Done { worker, ticket, inventory } => {
                 self.done(now, &worker, Answer { ticket, inventory }, out);
             }
--- a/yuccahoist/src/placement/owner/preempt.rs
+++ b/yuccahoist/src/placement/owner/preempt.rs
@@ -1,11 +1,10 @@
 //! Preemption of work of lower priority.
 
-use super::{PREEMPT_LIMIT, Placement, THROTTLE_PART};
+use super::{Placement, THROTTLE_PART};
 use crate::id::{ShardId, WorkerId};
 use crate::job::{JobKind, ShardReplyBody, TaskOrder, WaitReason};
 use crate::placement::ledger::{Held, Key, Ledger, StopOrder};
 use crate::placement::message::{PlacementAction, PlacementDecision, WorkerCommand};
-use crate::placement::reservation::Reservation;
 use crate::unit::{CpuMillis, Resources, Timestamp};
 
 /// How a worker is cleared for a task.
@@ -22,10 +21,9 @@
         now: Timestamp,
         shard: &ShardId,
         order: &TaskOrder,
-        reservation: &mut Reservation,
         out: &mut Vec<PlacementAction>,
-    ) -> bool {
-        let Some((id, plan)) = self.plan(now, shard, order) else { return false };
+    ) -> Option<WorkerId> {
+        let (id, plan) = self.plan(now, shard, order)?;
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.reserved += order.resources;
         }
@@ -37,11 +35,9 @@
             runner_up: None,
             reason,
         }));
-        reservation.tasks.push((order.clone(), id.clone()));
-        reservation.waiting = Some(now + PREEMPT_LIMIT);
         self.evict(now, &id, &plan, out);
         self.refresh(now, &id);
-        true
+        Some(id)
     }
 
     /// Worker on which the least important work has to leave.
@@ -94,7 +90,7 @@
             reservation.waiting = None;
             let (to, placed) = (reservation.from, reservation.placed());
             let body = ShardReplyBody::Reserved { reservation: key.3, placed };
-            self.reply(to, key.1, &key.0, body, out);
+            self.reply(to, (key.1, &key.0), body, out);
         }
         let _ = now;
     }
@@ -109,7 +105,7 @@
             let Some(to) = self.reservations.live.get(&key).map(|found| found.from) else { continue };
             self.release(now, &key);
             let body = ShardReplyBody::Refused { reservation: key.3, reason: WaitReason::NoRoom };
-            self.reply(to, key.1, &key.0, body, out);
+            self.reply(to, (key.1, &key.0), body, out);
         }
     }
 }
--- a/yuccahoist/src/placement/owner/requests.rs
+++ b/yuccahoist/src/placement/owner/requests.rs
@@ -17,7 +17,7 @@
 use crate::placement::reservation::{Reservation, ReservationKey};
 use crate::unit::{Resources, Timestamp};
 
-use super::SEND_LIMIT;
+use super::{PREEMPT_LIMIT, SEND_LIMIT, Turn};
 use crate::lease::DELIVERY_LIMIT;
 
 /// Who asks, and the reservation in question.
@@ -41,14 +41,8 @@
 }
 
 impl Placement {
-    pub(super) fn request(
-        &mut self,
-        now: Timestamp,
-        from: Incarnation,
-        request: ShardRequest,
-        rng: &mut dyn Rng,
-        out: &mut Vec<PlacementAction>,
-    ) {
+    pub(super) fn request(&mut self, turn: Turn<'_>, from: Incarnation, request: ShardRequest) {
+        let Turn { now, rng, out } = turn;
         let ShardRequest { partition, epoch, shard, body } = request;
         let refusal = if !self.shards.get(&shard).is_some_and(|owned| owned.holds(now)) {
             Some(WaitReason::NoOwner)
@@ -62,7 +56,7 @@
                 body
             {
                 let body = ShardReplyBody::Refused { reservation, reason };
-                self.reply(from, partition, &shard, body, out);
+                self.reply(from, (partition, &shard), body, out);
             }
             return;
         }
@@ -74,7 +68,7 @@
             ShardRequestBody::List => self.list(now, &asked, out),
             ShardRequestBody::Reserve { reservation, tasks, partial, expires } => {
                 let asked = asked.numbered(reservation);
-                self.reserve(now, &asked, Wish { tasks, partial, expires }, rng, out);
+                self.reserve(Turn { now, rng, out }, &asked, Wish { tasks, partial, expires });
             }
             ShardRequestBody::Commit { reservation } => self.commit(now, &asked.numbered(reservation), out),
             ShardRequestBody::Release { reservation } => self.release(now, &asked.numbered(reservation).key),
@@ -99,7 +93,7 @@
             tasks.extend(worker.held.values().filter(own).map(|held| held.report(&worker.spec)));
         }
         let body = ShardReplyBody::Tasks { tasks, complete, room };
-        self.reply(asked.from, *partition, shard, body, out);
+        self.reply(asked.from, (*partition, shard), body, out);
     }
 
     pub(super) fn workers_of<'a>(&'a self, shard: &ShardId) -> impl Iterator<Item = &'a Ledger> {
@@ -115,19 +109,13 @@
         self.workers_of(shard).all(|worker| lapsed || listed(worker))
     }
 
-    fn reserve(
-        &mut self,
-        now: Timestamp,
-        asked: &Asked,
-        wish: Wish,
-        rng: &mut dyn Rng,
-        out: &mut Vec<PlacementAction>,
-    ) {
+    fn reserve(&mut self, turn: Turn<'_>, asked: &Asked, wish: Wish) {
+        let Turn { now, rng, out } = turn;
         let (shard, partition, _, number) = &asked.key;
         if let Some(earlier) = self.reservations.live.get(&asked.key) {
             if earlier.waiting.is_none() {
                 let body = ShardReplyBody::Reserved { reservation: *number, placed: earlier.placed() };
-                self.reply(asked.from, *partition, shard, body, out);
+                self.reply(asked.from, (*partition, shard), body, out);
             }
             return;
         }
@@ -145,7 +133,7 @@
             }
             let known =
                 siblings.entry(order.task.job.clone()).or_insert_with(|| self.siblings(shard, &order));
-            match self.place(now, shard, &order, known, rng) {
+            match self.place((now, &mut *rng), shard, &order, known) {
                 Some((worker, runner_up)) => {
                     let reason = "has room by the policy".to_owned();
                     let chosen = Some(worker.clone());
@@ -167,8 +155,10 @@
             // Room is made for one task at a time, so that a failure on the next one costs no work in vain.
             if let [order] = left.as_slice()
                 && reason == WaitReason::NoRoom
-                && self.preempt(now, shard, order, &mut reservation, out)
+                && let Some(worker) = self.preempt(now, shard, order, out)
             {
+                reservation.tasks.push((order.clone(), worker));
+                reservation.waiting = Some(now + PREEMPT_LIMIT);
                 left.clear();
             }
         }
@@ -178,12 +168,12 @@
                 self.unreserve(now, &worker, order.resources);
             }
             let body = ShardReplyBody::Refused { reservation: *number, reason };
-            self.reply(asked.from, *partition, shard, body, out);
+            self.reply(asked.from, (*partition, shard), body, out);
             return;
         }
         if reservation.waiting.is_none() {
             let body = ShardReplyBody::Reserved { reservation: *number, placed: reservation.placed() };
-            self.reply(asked.from, *partition, shard, body, out);
+            self.reply(asked.from, (*partition, shard), body, out);
         }
         self.reservations.insert(asked.key.clone(), reservation);
     }
@@ -205,11 +195,10 @@
 
     fn place(
         &mut self,
-        now: Timestamp,
+        (now, rng): (Timestamp, &mut dyn Rng),
         shard: &ShardId,
         order: &TaskOrder,
         siblings: &mut Siblings,
-        rng: &mut dyn Rng,
     ) -> Option<(WorkerId, Option<WorkerId>)> {
         loop {
             let owned = self.shards.get(shard)?;
@@ -241,7 +230,7 @@
             if !self.reservations.is_committed(&asked.key) {
                 let reason = WaitReason::ReservationExpired;
                 let body = ShardReplyBody::Refused { reservation: *number, reason };
-                self.reply(asked.from, *partition, shard, body, out);
+                self.reply(asked.from, (*partition, shard), body, out);
             }
             return;
         };
@@ -264,11 +253,11 @@
         if lapsed {
             let reason = WaitReason::ReservationExpired;
             let body = ShardReplyBody::Refused { reservation: *number, reason };
-            self.reply(asked.from, *partition, shard, body, out);
+            self.reply(asked.from, (*partition, shard), body, out);
         }
         if !absent.is_empty() {
             log::debug!("partition {partition} epoch {epoch}: {} tasks not started on {shard}", absent.len());
-            self.reply(asked.from, *partition, shard, ShardReplyBody::Absent { tasks: absent }, out);
+            self.reply(asked.from, (*partition, shard), ShardReplyBody::Absent { tasks: absent }, out);
         }
     }
 
@@ -350,7 +339,7 @@
             self.withdraw(now, shard, *partition, &absent);
         }
         if !absent.is_empty() && self.is_complete(now, shard) {
-            self.reply(asked.from, *partition, shard, ShardReplyBody::Absent { tasks: absent }, out);
+            self.reply(asked.from, (*partition, shard), ShardReplyBody::Absent { tasks: absent }, out);
         }
         for id in workers {
             self.serve(now, &id, out);
--- a/yuccahoist/src/placement/policy.rs
+++ b/yuccahoist/src/placement/policy.rs
@@ -74,7 +74,7 @@
 /// Number of tasks of size `need` that fit into `free`.
 #[must_use]
 pub fn copies(need: Resources, free: Resources) -> u32 {
-    let part = |need: u64, free: u64| if need == 0 { u64::from(u32::MAX) } else { free / need };
+    let part = |need: u64, free: u64| free.checked_div(need).unwrap_or(u64::from(u32::MAX));
     let count = part(need.cpu.0, free.cpu.0)
         .min(part(need.memory.0, free.memory.0))
         .min(part(u64::from(need.accelerators.0), u64::from(free.accelerators.0)));
