--- a/yuccahoist/src/peer/wire.rs
+++ b/yuccahoist/src/peer/wire.rs
@@ -9,8 +9,8 @@
 use super::peer_capnp::{Class as WireClass, delivery, finished, forward, message};
 use super::{BATCH_LIMIT, Heartbeat, PeerMessage, reader_options};
 use crate::dispatch::{ForwardId, LoadSummary};
-use crate::id::{Incarnation, ParseIdError, RequestId, ServiceId, ShardId, TeamId};
-use crate::job::{ShardReply, ShardRequest};
+use crate::id::{Incarnation, JobId, ParseIdError, RequestId, ServiceId, ShardId, TeamId};
+use crate::job::{JobStatus, ShardReply, ShardRequest};
 use crate::ownership::OwnershipMessage;
 use crate::request::{Answer, Class, Doubt, Outcome, Refusal, Request};
 use crate::stream::StreamName;
@@ -87,6 +87,8 @@
     AnswerReply { id: RequestId, outcome: WireOutcome },
     StateQuery(StreamName),
     StateReply { stream: StreamName, snapshot: Bytes },
+    JobQuery { number: u64, job: JobId },
+    JobAnswer { number: u64, status: Option<Box<JobStatus>> },
 }
 
 /// Outcome within a control message.
@@ -133,6 +135,8 @@
             Control::StateReply { stream, snapshot } => {
                 Self::StateReply { stream, snapshot: snapshot.into() }
             }
+            Control::JobQuery { number, job } => Self::JobQuery { number, job },
+            Control::JobAnswer { number, status } => Self::JobAnswer { number, status },
         }
     }
 }
@@ -159,6 +163,8 @@
             PeerMessage::StateReply { stream, snapshot } => {
                 Control::StateReply { stream, snapshot: snapshot.into() }
             }
+            PeerMessage::JobQuery { number, job } => Control::JobQuery { number, job },
+            PeerMessage::JobAnswer { number, status } => Control::JobAnswer { number, status },
         };
         Ok(Self::Control(postcard::to_stdvec(&control)?))
     }
