--- a/yuccahoist/src/config/read.rs
+++ b/yuccahoist/src/config/read.rs
@@ -30,6 +30,8 @@
     pub(super) document: Option<T>,
     /// Errors.
     pub(super) findings: Vec<Finding>,
+    /// Paths of the placeholders.
+    pub(super) placeholders: Vec<String>,
 }
 
 /// Step of a path.
@@ -48,10 +50,11 @@
 /// Reads a document and lists all values that do not fit.
 pub(super) fn read<T: DeserializeOwned>(mut value: Value) -> Reading<T> {
     let mut findings: Vec<Finding> = Vec::new();
+    let mut placeholders = Vec::new();
     let mut repaired: Vec<Vec<Step>> = Vec::new();
     while findings.len() < ERROR_LIMIT {
         let failure = match attempt::<T>(&value) {
-            Ok(document) => return Reading { document: Some(document), findings },
+            Ok(document) => return Reading { document: Some(document), findings, placeholders },
             Err(failure) => failure,
         };
         // Fields that a placeholder lacks are not errors of the document.
@@ -62,11 +65,14 @@
         if !repair::<T>(&mut value, &failure) {
             break;
         }
+        if !known && !failure.message.starts_with("unknown field") {
+            placeholders.push(render(&failure.steps));
+        }
         if !known {
             repaired.push(failure.steps);
         }
     }
-    Reading { document: None, findings }
+    Reading { document: None, findings, placeholders }
 }
 
 fn attempt<T: DeserializeOwned>(value: &Value) -> Result<T, Failure> {
--- a/yuccahoist/src/config/validate.rs
+++ b/yuccahoist/src/config/validate.rs
@@ -198,15 +198,22 @@
         check_cell(document, &mut findings);
         bounds::check(document, &mut findings);
         fleet::check(document, &mut findings);
-        work::check(document, &mut findings);
+        // Checks over several values would find errors about placeholders.
+        if reading.placeholders.is_empty() {
+            bounds::check_shares(document, &mut findings);
+            work::check(document, &mut findings);
+        }
     }
-    // A placeholder is no value of the document, so errors about it are not listed.
-    let replaced: Vec<&str> = reading.findings.iter().map(|finding| finding.path.as_str()).collect();
-    let real = |finding: &Finding| !replaced.iter().any(|path| finding.path.starts_with(path));
+    let real = |finding: &Finding| !reading.placeholders.iter().any(|path| is_within(&finding.path, path));
     let semantic: Vec<Finding> = findings.0.into_iter().filter(real).collect();
     reading.findings.into_iter().chain(semantic).collect()
 }
 
+/// Whether a path is another one or lies below it.
+fn is_within(path: &str, parent: &str) -> bool {
+    path.strip_prefix(parent).is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
+}
+
 fn check_cell(document: &CellDocument, findings: &mut Findings) {
     let cell = SiteId::new(&document.cell);
     findings.check(
--- a/yuccahoist/src/config/validate/bounds.rs
+++ b/yuccahoist/src/config/validate/bounds.rs
@@ -29,6 +29,10 @@
         findings.range(path("run_limit_ms"), section.run_limit_ms, 1, DAY_MS);
         findings.range(path("deadline_limit_ms"), section.deadline_limit_ms, 1, DAY_MS);
     }
+}
+
+/// Checks the sum of the shares.
+pub(super) fn check_shares(document: &CellDocument, findings: &mut Findings) {
     let sum: f64 = document.classes.all().iter().map(|(_, section)| section.share).sum();
     findings.check(sum <= 1.0 + SHARE_ERROR, "classes (sum of shares)", sum, "at most 1");
 }
--- a/yuccahoist/src/platform/mod.rs
+++ b/yuccahoist/src/platform/mod.rs
@@ -3,6 +3,8 @@
 //! The platform gives a log service, workers that run tasks, backend servers and a host list. Each is a trait object
 //! here, so that the product runs against the published HTTP interfaces and tests run against fakes.
 
+mod log;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+pub use self::log::{AppendReply, HttpLog, LogTimeouts, ReadReply, RecordReply};
 use crate::id::{Epoch, Offset, WorkerId};
 use crate::placement::{Inventory, WorkerCommand};
 use crate::request::{Answer, Request};
--- /dev/null
+++ b/yuccahoist_standins/src/log/mod.rs
@@ -0,0 +1,9 @@
+//! Stand-in for the log service.
+
+mod faults;
+mod memory;
+mod server;
+
+pub use self::faults::LogFaults;
+pub use self::memory::MemoryLog;
+pub use self::server::LogServer;
