--- a/yuccahoist/src/host/mod.rs
+++ b/yuccahoist/src/host/mod.rs
@@ -32,6 +32,7 @@
 use crate::membership::Membership;
 use crate::ownership::{Grant, Member, Ownership, OwnershipSettings};
 use crate::placement::Placement;
+use crate::settings::Settings;
 use crate::stream::StreamSettings;
 use crate::unit::{Timestamp, WallTime};
 
@@ -46,6 +47,23 @@
     pub streams: StreamSettings,
 }
 
+impl HostOptions {
+    /// Options by the settings of a daemon whose addresses are bound.
+    #[must_use]
+    pub fn from_settings(settings: &Settings) -> Self {
+        let host = &settings.host;
+        let member = Member {
+            host: host.name.clone(),
+            incarnation: host.incarnation,
+            address: settings.listen.peer,
+            zone: host.zone.clone(),
+            site: host.site.clone(),
+        };
+        let streams = StreamSettings { retention: settings.log.retention, ..StreamSettings::default() };
+        Self { member, seeds: settings.listen.peers.clone(), streams }
+    }
+}
+
 /// State machine of one entry host.
 #[derive(Debug)]
 pub struct Host {
--- a/yuccahoist/src/host/peers.rs
+++ b/yuccahoist/src/host/peers.rs
@@ -16,7 +16,7 @@
 use crate::job::CoordinatorEvent;
 use crate::membership::MembershipEvent;
 use crate::ownership::{Member, OwnershipEvent};
-use crate::peer::{Heartbeat, PeerMessage};
+use crate::peer::{ANY_PEER, Heartbeat, PeerMessage};
 use crate::placement::PlacementEvent;
 use crate::stream::StreamName;
 use crate::unit::Timestamp;
@@ -30,9 +30,6 @@
 /// Silence after which a peer that is not a member is forgotten.
 const GUEST_LIMIT: Duration = Duration::from_secs(10);
 
-/// Receiver of a message to an address whose incarnation is not known.
-const ANY: Incarnation = Incarnation(0);
-
 /// Other host, as last heard.
 #[derive(Debug, Clone)]
 pub(super) struct Known {
@@ -146,8 +143,8 @@
         if members.is_empty() {
             for address in self.seeds() {
                 let heartbeat = PeerMessage::Heartbeat(self.heartbeat());
-                turn.out.push(HostAction::Send { to: ANY, address, message: heartbeat, until: None });
-                turn.out.push(HostAction::Send { to: ANY, address, message: message(), until: None });
+                turn.out.push(HostAction::Send { to: ANY_PEER, address, message: heartbeat, until: None });
+                turn.out.push(HostAction::Send { to: ANY_PEER, address, message: message(), until: None });
             }
         }
     }
@@ -167,7 +164,7 @@
         self.peers.greeted = Some(turn.now);
         let message = || PeerMessage::Heartbeat(self.heartbeat());
         for address in self.seeds() {
-            turn.out.push(HostAction::Send { to: ANY, address, message: message(), until: None });
+            turn.out.push(HostAction::Send { to: ANY_PEER, address, message: message(), until: None });
         }
     }
 
--- a/yuccahoist/src/peer/link.rs
+++ b/yuccahoist/src/peer/link.rs
@@ -77,7 +77,7 @@
 /// Sending ends of the queues, one per peer.
 #[derive(Debug)]
 pub struct PeerLinks {
-    links: BTreeMap<Incarnation, Link>,
+    links: BTreeMap<(Incarnation, SocketAddr), Link>,
     opener: mpsc::UnboundedSender<LinkTask>,
 }
 
@@ -121,12 +121,13 @@
         address: SocketAddr,
         outgoing: Outgoing,
     ) -> Result<(), Box<PeerMessage>> {
-        if self.links.get(&to).is_none_or(|link| link.queue.is_closed()) {
+        let key = (to, address);
+        if self.links.get(&key).is_none_or(|link| link.queue.is_closed()) {
             self.links.retain(|_, link| !link.queue.is_closed());
             let link = self.open(to, address);
-            self.links.insert(to, link);
+            self.links.insert(key, link);
         }
-        match self.links.get(&to) {
+        match self.links.get(&key) {
             Some(link) => link.send(outgoing),
             None => Err(Box::new(outgoing.message)),
         }
--- a/yuccahoist/src/peer/mod.rs
+++ b/yuccahoist/src/peer/mod.rs
@@ -24,9 +24,13 @@
 pub use self::message::*;
 pub use self::server::{ServerContext, serve};
 pub use self::wire::{WireError, WireMessage, decode, encode};
+use crate::id::Incarnation;
 
 /// Largest Cap'n Proto message that is read, bytes. A snapshot of a fold is the largest message.
 pub const MESSAGE_LIMIT: usize = 32 << 20;
+/// Receiver of a message to an address whose incarnation is not known. A host that starts while the log is unavailable
+/// knows only the addresses in its settings.
+pub const ANY_PEER: Incarnation = Incarnation(0);
 /// Messages in one delivery.
 pub const BATCH_LIMIT: usize = 256;
 
--- a/yuccahoist/src/peer/server.rs
+++ b/yuccahoist/src/peer/server.rs
@@ -16,6 +16,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use xtra::Address;
 
+use super::ANY_PEER;
 use super::link::BUFFER;
 use super::peer_capnp::peer;
 use super::reader_options;
@@ -152,7 +153,7 @@
 
     fn hello(&self, from: Incarnation, to: Incarnation) -> Result<Option<xtra::Receiver<()>>, Error> {
         let own = self.context.own;
-        if to != own {
+        if to != own && to != ANY_PEER {
             return Err(Error::failed(format!("incarnation {to} is not here; this is {own}")));
         }
         if from == Incarnation(0) {
--- a/yuccahoist/src/platform/mod.rs
+++ b/yuccahoist/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! here, so that the product runs against the published HTTP interfaces and tests run against fakes.
 
 mod http;
+mod log;
 mod table;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+pub use self::log::{AppendReply, HttpLog, LogTimeouts, ReadReply, RecordReply};
 use crate::id::{Epoch, Offset, WorkerId};
 use crate::placement::{Inventory, WorkerCommand};
 use crate::request::{Answer, Request};
--- a/yuccahoist/src/settings/listen.rs
+++ b/yuccahoist/src/settings/listen.rs
@@ -19,6 +19,8 @@
     pub api: SocketAddr,
     /// Address for peers; also the address that is announced to them.
     pub peer: SocketAddr,
+    /// Addresses of other hosts, to ask for state while the log is unavailable.
+    pub peers: Vec<SocketAddr>,
     /// Largest body of a request, bytes.
     pub body_limit: usize,
     /// Calls that may be open at once.
@@ -34,6 +36,7 @@
         Self {
             api,
             peer,
+            peers: Vec::new(),
             body_limit: BODY_LIMIT as usize,
             open_calls: OPEN_CALLS as usize,
             stop_delay: Duration::from_millis(500),
@@ -45,10 +48,12 @@
     let address_form = "an IP address and port such as 10.0.0.1:7400";
     let api = section.required("api", address_form);
     let peer = section.required("peer", address_form);
+    let peers = section.list("peers", "a list of IP addresses and ports such as 10.0.0.2:7401");
     let body_limit = section.number("body_limit", BODY_LIMIT, 1..=MAX_BODY_LIMIT);
     let open_calls = section.number("open_calls", OPEN_CALLS, 1..=1_000_000);
     let stop_delay = section.millis("stop_delay_ms", 500, 0..=60_000);
     let mut listen = ListenSettings::new(api?, peer?);
+    listen.peers = peers;
     listen.body_limit = usize::try_from(body_limit).unwrap_or(usize::MAX);
     listen.open_calls = usize::try_from(open_calls).unwrap_or(usize::MAX);
     listen.stop_delay = stop_delay;
--- a/yuccahoist/src/settings/section.rs
+++ b/yuccahoist/src/settings/section.rs
@@ -92,6 +92,16 @@
         parsed
     }
 
+    /// List of texts that parse as `T`; empty when it is not given.
+    pub(super) fn list<T: FromStr>(&mut self, field: &'static str, allowed: &str) -> Vec<T> {
+        let Some(value) = self.take(field) else { return Vec::new() };
+        let Some(items) = value.as_array() else {
+            self.error(field, &value.to_string(), allowed);
+            return Vec::new();
+        };
+        items.iter().filter_map(|item| self.convert(field, item, allowed)).collect()
+    }
+
     /// Whole number in a range, or the default.
     pub(super) fn number(&mut self, field: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
         let Some(value) = self.take(field) else { return default };
--- a/yuccahoist_standins/src/lib.rs
+++ b/yuccahoist_standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod fault;
 pub mod hosts;
+pub mod log;
 pub mod serve;
 pub mod time;
 pub mod worker;
--- a/yuccahoistd/src/main.rs
+++ b/yuccahoistd/src/main.rs
@@ -3,10 +3,13 @@
 mod cli;
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use thiserror::Error;
 use yuccahoist::daemon::{Daemon, HostMachine, Platform, StartError};
+use yuccahoist::host::{Host, HostOptions};
 use yuccahoist::logging;
+use yuccahoist::platform::{CallError, HttpLog, LogTimeouts};
 use yuccahoist::settings::{Settings, SettingsErrors};
 
 use self::cli::Arguments;
@@ -20,8 +23,8 @@
     Start(#[from] StartError),
     #[error("handling signals failed: {0}")]
     Signal(#[from] std::io::Error),
-    #[error("this build has no host state machine and no log client")]
-    NotAssembled,
+    #[error("{0}")]
+    Log(#[from] CallError),
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -49,6 +52,14 @@
 }
 
 /// State machine and platform of this host.
-fn assemble(_: &Settings) -> Result<(HostMachine, Platform), Failure> {
-    Err(Failure::NotAssembled)
+fn assemble(settings: &Settings) -> Result<(HostMachine, Platform), Failure> {
+    let host = Host::new(HostOptions::from_settings(settings));
+    let timeouts = LogTimeouts {
+        connect: settings.log.connect_timeout,
+        append: settings.log.append_timeout,
+        read: settings.log.read_timeout,
+    };
+    let log = HttpLog::with_timeouts(settings.platform.log, timeouts)?;
+    let platform = Platform::http(&settings.platform, Arc::new(log))?;
+    Ok((Box::new(host), platform))
 }
