--- a/yuccahoist_standins/src/lib.rs
+++ b/yuccahoist_standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! compare with what the product reports.
 
 pub mod backend;
+pub mod cluster;
 pub mod fault;
 pub mod hosts;
 pub mod log;
