--- a/yuccahoist/tests/stream.rs
+++ b/yuccahoist/tests/stream.rs
@@ -342,3 +342,47 @@
     world.settle();
     assert_eq!(world.nodes[late].client.next(), world.nodes[0].client.next());
 }
+
+/// Guards against a second append before it is known that the first one is not in the log, and against its absence.
+#[test]
+fn lost_answer_is_resolved_by_reading() {
+    use yuccahoist::duty::Duty;
+    use yuccahoist::platform::{CallError, ReadBatch};
+    use yuccahoist::stream::StreamClient;
+    use yuccahoist::unit::Timestamp;
+
+    for landed in [true, false] {
+        let mut rng = <rand_chacha::ChaCha8Rng as rand::SeedableRng>::seed_from_u64(1);
+        let mut client = StreamClient::new(StreamName::Intents, Incarnation(1), Plain::default(), settings());
+        let mut at = |millis: u64, event: StreamEvent<u64>| {
+            let mut out = Vec::new();
+            client.handle(Timestamp::from_millis(millis), event, &mut rng, &mut out);
+            out
+        };
+        let batch = |end: u64, records: Vec<(Offset, Bytes)>| {
+            Ok(ReadBatch { earliest: Offset(0), end: Offset(end), records })
+        };
+        let sent = |out: &[StreamAction<u64>]| {
+            out.iter().find_map(|action| match action {
+                StreamAction::SendAppend { record, .. } => Some(record.clone()),
+                _ => None,
+            })
+        };
+        let record = sent(&at(0, StreamEvent::Append { ticket: 7, record: 7 })).expect("sent");
+        let lost = CallError::Unknown { step: "append", peer: "log".into(), reason: "test".into() };
+        at(100, StreamEvent::Appended { seq: Sequence(1), result: Err(lost) });
+        // This read was sent before the answer was lost, so it proves nothing.
+        let out = at(500, StreamEvent::Read { asked: Timestamp::ZERO, result: batch(0, Vec::new()) });
+        assert_eq!(sent(&out), None);
+        let zero_wait = StreamAction::SendRead { from: Offset(0), wait: Duration::ZERO };
+        assert!(out.contains(&zero_wait), "the read that resolves it must not be a long poll: {out:?}");
+        assert_eq!(sent(&at(600, StreamEvent::Tick)), None);
+        let asked = Timestamp::from_millis(500);
+        let records = if landed { vec![(Offset(0), record.clone())] } else { Vec::new() };
+        let result = batch(records.len() as u64, records);
+        let out = at(700, StreamEvent::Read { asked, result });
+        let committed = StreamAction::Committed { ticket: 7, offset: Offset(0) };
+        assert_eq!(out.contains(&committed), landed);
+        assert_eq!(sent(&out), (!landed).then_some(record), "the same record is appended again");
+    }
+}
