Bound the time of validation and index workers by name

A host validates an edit between requests. Documents above 256 KiB are refused, and the effective configuration of a site no longer validates all other sites.

--- a/yuccahoist/src/config/cell.rs
+++ b/yuccahoist/src/config/cell.rs
@@ -39,6 +39,8 @@
     pub limits: LimitsConfig,
     /// Longest run limit of any class at any site; a successor waits for it, whatever site the earlier owner is in.
     pub cell_run_limit: Duration,
+    /// Rack and place in it of each worker.
+    pub(super) index: BTreeMap<WorkerId, (ShardId, usize)>,
     /// Digest of the merged document; the same at all hosts that have the same configuration in force.
     pub digest: u64,
 }
@@ -52,7 +54,8 @@
     /// Worker by its id.
     #[must_use]
     pub fn worker(&self, id: &WorkerId) -> Option<&WorkerConfig> {
-        self.workers().map(|(_, _, worker)| worker).find(|worker| worker.worker == *id)
+        let (shard, place) = self.index.get(id)?;
+        self.racks.get(shard)?.workers.get(*place)
     }
 
     /// Subjects of ownership leases: all racks and partitions.
@@ -117,6 +120,13 @@
         CoordinatorSettings { quotas, services, shards: self.racks.keys().cloned().collect() }
     }
 
+    /// Index of the workers of racks.
+    pub(super) fn index(racks: &BTreeMap<ShardId, RackConfig>) -> BTreeMap<WorkerId, (ShardId, usize)> {
+        let places =
+            racks.iter().flat_map(|(id, rack)| rack.workers.iter().enumerate().map(move |w| (id, w)));
+        places.map(|(id, (place, worker))| (worker.worker.clone(), (id.clone(), place))).collect()
+    }
+
     fn services_of(&self, shard: &ShardId) -> Vec<ServiceId> {
         let offers =
             |service: &ServiceConfig| service.racks.as_ref().is_none_or(|racks| racks.contains(shard));
--- a/yuccahoist/src/config/validate.rs
+++ b/yuccahoist/src/config/validate.rs
@@ -25,6 +25,9 @@
 /// whose capacity differed by site could be given more than it has after a takeover.
 const OVERLAY_SECTIONS: [&str; 3] = ["classes", "teams", "limits"];
 
+/// Largest document, bytes as compact JSON. Hosts validate edits between requests, so the time must be bounded.
+const DOCUMENT_LIMIT: usize = 256 << 10;
+
 /// Value in a document that is not allowed.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConfigError {
@@ -128,17 +131,16 @@
 
 /// Effective configuration of a site.
 pub(super) fn build(documents: &Documents, site: &SiteId) -> Result<CellConfig, Vec<ConfigError>> {
-    validate(documents)?;
     let name = DocumentName::Site(site.clone());
     let known = sites(documents);
-    if !known.contains(site) {
-        let mut findings = Findings::default();
-        findings.check(false, "(site)", site, format!("the sites {}", list(&known)));
-        return Err(located(&name, findings.0));
-    }
-    let reading = read::<CellDocument>(documents.merged(site));
-    let Some(document) = reading.document else {
-        return Err(located(&name, reading.findings));
+    let mut findings = Findings::default();
+    findings.check(known.contains(site), "(site)", site, format!("the sites {}", list(&known)));
+    // The verdict covers the whole set. This version may still be unable to use what another one accepted.
+    findings.0.extend(check_document(documents.merged(site)));
+    let document = read::<CellDocument>(documents.merged(site)).document;
+    let document = match document {
+        Some(document) if findings.0.is_empty() => document,
+        _ => return Err(located(&name, findings.0)),
     };
     let mut run_limit = document.classes.longest_run();
     for other in &known {
@@ -152,13 +154,15 @@
 fn assemble(document: &CellDocument, site: &SiteId, cell_run_limit: std::time::Duration) -> CellConfig {
     // Keys that are no names were refused by the validation.
     let text = serde_json::to_vec(document).unwrap_or_default();
+    let racks = document.workers.build();
     CellConfig {
         cell: document.cell.clone(),
         site: site.clone(),
         sites: document.sites.iter().cloned().collect(),
         classes: document.classes.build(),
         teams: named(&document.teams, |_, team| team.into()),
-        racks: document.workers.build(),
+        index: CellConfig::index(&racks),
+        racks,
         services: named(&document.services, |id, service| Some(service.build(id.parse().ok()?)))
             .into_iter()
             .filter_map(|(id, service)| Some((id, service?)))
@@ -192,8 +196,13 @@
 
 /// Errors of one merged document.
 fn check_document(value: Value) -> Vec<Finding> {
-    let reading = read::<CellDocument>(value);
     let mut findings = Findings::default();
+    let size = value.to_string().len();
+    if size > DOCUMENT_LIMIT {
+        findings.check(false, "(document size)", size, format!("at most {DOCUMENT_LIMIT} bytes"));
+        return findings.0;
+    }
+    let reading = read::<CellDocument>(value);
     if let Some(document) = &reading.document {
         check_cell(document, &mut findings);
         bounds::check(document, &mut findings);
--- a/yuccahoist/tests/config_validate.rs
+++ b/yuccahoist/tests/config_validate.rs
@@ -288,6 +288,26 @@
     assert!(errors.iter().all(|error| error.document == DocumentName::Base), "{errors:#?}");
 }
 
+/// Guards against a document whose validation keeps hosts from their requests.
+#[test]
+fn oversized_document_is_refused() {
+    let mut documents = example(CELLS[0]);
+    documents.base["extra"] = json!("x".repeat(300 << 10));
+    let errors = validate(&documents).expect_err("too large");
+    assert!(errors.iter().any(|error| error.path == "(document size)"), "{errors:?}");
+}
+
+/// Guards against an index of workers that differs from the racks.
+#[test]
+fn workers_are_found_by_name() {
+    let config = in_force(&example(CELLS[0])).effective(&site("yard-gate")).expect("valid");
+    for (rack, _, worker) in config.workers() {
+        assert!(worker.worker.as_str().starts_with(rack.as_str()));
+        assert_eq!(config.worker(&worker.worker), Some(worker));
+    }
+    assert_eq!(config.worker(&"drum-7-1".parse().expect("name")), None);
+}
+
 /// Guards against an operator who removes most of the fleet by mistake.
 #[test]
 fn large_capacity_drop_needs_the_flag() {
--- a/yuccahoist/tests/stream.rs
+++ b/yuccahoist/tests/stream.rs
@@ -322,6 +322,26 @@
     assert!((30..=160).contains(&snapshots), "{snapshots} snapshots");
 }
 
+/// Guards against state that is lost because every host is replaced before a snapshot is due by its own clock.
+#[test]
+fn snapshots_are_written_by_short_lived_hosts() {
+    let mut world = World::<Journal>::new(StreamName::Jobs, 3, settings(), 9);
+    for number in 1..=5 {
+        world.event(0, StreamEvent::Append { ticket: number, record: Entry::Value(number) });
+    }
+    world.run(100);
+    for round in 0..90 {
+        // Each host lives for 1.2 s; a snapshot is due after 1.5 s.
+        world.restart(round % 3);
+        world.run(40);
+        world.log.expire(RETENTION, 0);
+    }
+    let late = world.add();
+    world.run(200);
+    assert!(world.log.earliest > 5, "the values themselves are truncated");
+    assert_eq!(world.nodes[late].client.fold().values.len(), 5);
+}
+
 /// Guards against a host that starts in a log outage and stays without state, or takes an older one.
 #[test]
 fn state_of_a_peer_is_taken_once() {
