--- a/yuccahoist/src/dispatch/mod.rs
+++ b/yuccahoist/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod shares;
 mod worker;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -436,7 +437,7 @@
         Some((item, grant))
     }
 
-    /// Worker with most free slots and the second best; slow ones come last.
+    /// Worker with most free slots and the second best. Slow ones come last; equal ones take turns.
     fn choose(
         &self,
         now: Timestamp,
@@ -447,7 +448,7 @@
         let usable = self.usable(self.shards.get(id)?, now);
         let open = usable.into_iter().filter(|worker| worker.offers(service) && worker.free(share) > 0);
         let mut ranked: Vec<&Worker> = open.collect();
-        ranked.sort_by_key(|worker| (worker.slow(now), std::cmp::Reverse(worker.free(share))));
+        ranked.sort_by_key(|worker| (worker.slow(now), Reverse(worker.free(share)), worker.used_at));
         let mut ids = ranked.into_iter().map(|worker| worker.spec.worker.clone());
         Some((ids.next()?, ids.next()))
     }
@@ -472,7 +473,7 @@
         let request = waiting.request;
         let timer = now + self.run_limit(request.class) + ANSWER_GRACE;
         if let Some(entry) = self.workers.get_mut(&worker) {
-            entry.hold(request.class);
+            entry.hold(now, request.class);
         }
         *self.active.entry(grant.epoch).or_default() += 1;
         self.timers.insert((timer, forward));
--- a/yuccahoist/src/dispatch/worker.rs
+++ b/yuccahoist/src/dispatch/worker.rs
@@ -35,6 +35,8 @@
     pub(super) present: bool,
     /// Slots held per class.
     pub(super) held: [u32; 3],
+    /// Time at which it last got a request.
+    pub(super) used_at: Timestamp,
     ratio: Ewma,
     sampled: Timestamp,
     failures: u32,
@@ -47,6 +49,7 @@
             spec,
             present: true,
             held: [0; 3],
+            used_at: Timestamp::ZERO,
             ratio: Ewma::default(),
             sampled: Timestamp::ZERO,
             failures: 0,
@@ -77,7 +80,8 @@
         self.spec.services.contains(service)
     }
 
-    pub(super) fn hold(&mut self, class: Class) {
+    pub(super) fn hold(&mut self, now: Timestamp, class: Class) {
+        self.used_at = now;
         self.held[class as usize] += 1;
     }
 
--- a/yuccahoist/src/front/delivery.rs
+++ b/yuccahoist/src/front/delivery.rs
@@ -3,12 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rand::Rng;
-
 use crate::dispatch::ForwardId;
 use crate::front::budget::RetryBudget;
 use crate::front::owners::Owners;
-use crate::front::{CallId, FrontAction, RouteCandidate, RouteDecision, RoutePolicy};
+use crate::front::{CallId, Context, FrontAction, RouteCandidate, RouteDecision, RoutePolicy};
 use crate::id::{Incarnation, RequestId, ShardId};
 use crate::request::{Doubt, Outcome, Refusal, Request};
 use crate::unit::Timestamp;
@@ -92,10 +90,8 @@
     /// Forwards a request. The outcome is returned if it is refused at once.
     pub(super) fn start(
         &mut self,
-        now: Timestamp,
+        cx: &mut Context<'_>,
         (target, request): (Target, Request),
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
     ) -> Option<Outcome> {
         let delivery = Delivery {
             request,
@@ -107,7 +103,7 @@
             spilled: false,
         };
         self.open.insert(target, delivery);
-        self.forward_or(now, target, Refusal::NoOwner, rng, out).map(|(_, outcome)| outcome)
+        self.forward_or(cx, target, Refusal::NoOwner).map(|(_, outcome)| outcome)
     }
 
     pub(super) fn accepted(&mut self, forward: ForwardId) {
@@ -121,60 +117,41 @@
 
     pub(super) fn finished(
         &mut self,
-        now: Timestamp,
+        cx: &mut Context<'_>,
         (forward, outcome): (ForwardId, Outcome),
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
     ) -> Conclusion {
         let (target, attempt) = self.close_forward(forward)?;
         match outcome {
             Outcome::Answered(_) => {
                 self.budget.succeeded();
-                self.conclude(target, outcome, out)
+                self.conclude(target, outcome, cx.out)
             }
-            Outcome::NotRun(refusal) => self.refused(now, (target, forward, attempt), refusal, rng, out),
-            Outcome::Unknown(doubt) => self.doubted(now, (target, forward, attempt), doubt, rng, out),
+            Outcome::NotRun(refusal) => self.refused(cx, (target, forward, attempt), refusal),
+            Outcome::Unknown(doubt) => self.doubted(cx, (target, forward, attempt), doubt),
         }
     }
 
-    pub(super) fn not_sent(
-        &mut self,
-        now: Timestamp,
-        forward: ForwardId,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) -> Conclusion {
+    pub(super) fn not_sent(&mut self, cx: &mut Context<'_>, forward: ForwardId) -> Conclusion {
         let (target, attempt) = self.close_forward(forward)?;
         self.owners.set_silent(attempt.owner);
-        self.refused(now, (target, forward, attempt), Refusal::NoOwner, rng, out)
+        self.refused(cx, (target, forward, attempt), Refusal::NoOwner)
     }
 
-    pub(super) fn owner_lost(
-        &mut self,
-        now: Timestamp,
-        forward: ForwardId,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) -> Conclusion {
+    pub(super) fn owner_lost(&mut self, cx: &mut Context<'_>, forward: ForwardId) -> Conclusion {
         let (target, attempt) = self.close_forward(forward)?;
         self.owners.set_silent(attempt.owner);
-        self.doubted(now, (target, forward, attempt), Doubt::OwnerLost, rng, out)
+        self.doubted(cx, (target, forward, attempt), Doubt::OwnerLost)
     }
 
     /// Handles forwards that were not accepted in time.
-    pub(super) fn tick(
-        &mut self,
-        now: Timestamp,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) -> Vec<(Target, Outcome)> {
+    pub(super) fn tick(&mut self, cx: &mut Context<'_>) -> Vec<(Target, Outcome)> {
         let mut conclusions = Vec::new();
         while let Some((sent, forward)) = self.unaccepted.first().copied() {
-            if now.since(sent) < ACCEPT_LIMIT {
+            if cx.now.since(sent) < ACCEPT_LIMIT {
                 break;
             }
             self.unaccepted.pop_first();
-            conclusions.extend(self.unanswered(now, forward, rng, out));
+            conclusions.extend(self.unanswered(cx, forward));
         }
         conclusions
     }
@@ -208,15 +185,13 @@
     /// Handles a forward that provably did not run.
     fn refused(
         &mut self,
-        now: Timestamp,
+        cx: &mut Context<'_>,
         (target, forward, attempt): (Target, ForwardId, Attempt),
         refusal: Refusal,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
     ) -> Conclusion {
         let delivery = self.open.get_mut(&target)?;
         if delivery.current != Some(forward) {
-            return self.give_up_unless_current(target, refusal, out);
+            return self.give_up_unless_current(target, refusal, cx.out);
         }
         let elsewhere = match refusal {
             Refusal::NotOwner | Refusal::NoOwner | Refusal::Stopping => true,
@@ -226,47 +201,39 @@
         delivery.current = None;
         delivery.avoid.insert(attempt.shard);
         if !elsewhere {
-            return self.give_up(target, refusal, out);
+            return self.give_up(target, refusal, cx.out);
         }
         if refusal == Refusal::NoOwner {
-            self.allow_same_shard(now, target);
+            self.allow_same_shard(cx.now, target);
         }
-        if matches!(refusal, Refusal::Overloaded { .. }) && !self.any_free(now, target) {
-            return self.give_up(target, refusal, out);
+        if matches!(refusal, Refusal::Overloaded { .. }) && !self.any_free(cx.now, target) {
+            return self.give_up(target, refusal, cx.out);
         }
-        self.forward_or(now, target, refusal, rng, out)
+        self.forward_or(cx, target, refusal)
     }
 
     /// Handles a forward that may have run.
     fn doubted(
         &mut self,
-        now: Timestamp,
+        cx: &mut Context<'_>,
         (target, forward, attempt): (Target, ForwardId, Attempt),
         doubt: Doubt,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
     ) -> Conclusion {
         let delivery = self.open.get_mut(&target)?;
         delivery.doubt = Some(doubt);
         if delivery.current != Some(forward) {
-            return self.give_up_unless_current(target, Refusal::NoOwner, out);
+            return self.give_up_unless_current(target, Refusal::NoOwner, cx.out);
         }
         delivery.current = None;
         delivery.avoid.insert(attempt.shard);
-        if target.may_repeat() && self.may_retry(now, target) {
-            return self.forward_or(now, target, Refusal::NoOwner, rng, out);
+        if target.may_repeat() && self.may_retry(cx.now, target) {
+            return self.forward_or(cx, target, Refusal::NoOwner);
         }
-        self.give_up(target, Refusal::NoOwner, out)
+        self.give_up(target, Refusal::NoOwner, cx.out)
     }
 
     /// Handles a forward that the owner did not accept in time.
-    fn unanswered(
-        &mut self,
-        now: Timestamp,
-        forward: ForwardId,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) -> Conclusion {
+    fn unanswered(&mut self, cx: &mut Context<'_>, forward: ForwardId) -> Conclusion {
         let target = *self.forwards.get(&forward)?;
         let delivery = self.open.get_mut(&target)?;
         let attempt = delivery.open.get(&forward)?.clone();
@@ -275,12 +242,12 @@
             return None;
         }
         delivery.avoid.insert(attempt.shard);
-        if !self.may_retry(now, target) {
+        if !self.may_retry(cx.now, target) {
             return None;
         }
-        out.push(FrontAction::Withdraw { forward, to: attempt.owner });
+        cx.out.push(FrontAction::Withdraw { forward, to: attempt.owner });
         // The first owner may still answer; its forward stays open.
-        self.forward(now, target, rng, out);
+        self.forward(cx, target);
         None
     }
 
@@ -336,39 +303,28 @@
     }
 
     /// Forwards a request to an owner that has not been tried, or ends it.
-    fn forward_or(
-        &mut self,
-        now: Timestamp,
-        target: Target,
-        refusal: Refusal,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) -> Conclusion {
-        if self.forward(now, target, rng, out) {
+    fn forward_or(&mut self, cx: &mut Context<'_>, target: Target, refusal: Refusal) -> Conclusion {
+        if self.forward(cx, target) {
             return None;
         }
         if let Some(delivery) = self.open.get(&target) {
             let reason = "no owner left to try".into();
             let request = delivery.request.id;
             let decision = RouteDecision { request, chosen: None, runner_up: None, reason };
-            out.push(FrontAction::Decision(decision));
+            cx.out.push(FrontAction::Decision(decision));
         }
-        self.give_up(target, refusal, out)
+        self.give_up(target, refusal, cx.out)
     }
 
-    fn forward(
-        &mut self,
-        now: Timestamp,
-        target: Target,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) -> bool {
+    fn forward(&mut self, cx: &mut Context<'_>, target: Target) -> bool {
         let Some(delivery) = self.open.get(&target) else { return false };
-        if delivery.sent >= FORWARD_LIMIT || now >= delivery.request.deadline {
+        if delivery.sent >= FORWARD_LIMIT || cx.now >= delivery.request.deadline {
             return false;
         }
-        let candidates = self.candidates(now, delivery);
-        let Some(route) = self.policy.choose(delivery.request.class, &candidates, rng) else { return false };
+        let candidates = self.candidates(cx.now, delivery);
+        let Some(route) = self.policy.choose(delivery.request.class, &candidates, cx.rng) else {
+            return false;
+        };
         let chosen = &candidates[route.chosen];
         let runner_up = route.runner_up.map(|index| candidates[index].shard.clone());
         let forward = ForwardId { front: self.own, number: self.next };
@@ -376,19 +332,19 @@
         self.owners.sent(&chosen.shard);
         let Some(delivery) = self.open.get_mut(&target) else { return false };
         let (owner, shard) = (chosen.owner, chosen.shard.clone());
-        delivery.open.insert(forward, Attempt { owner, shard: shard.clone(), sent: now, accepted: false });
+        delivery.open.insert(forward, Attempt { owner, shard: shard.clone(), sent: cx.now, accepted: false });
         delivery.current = Some(forward);
         delivery.sent += 1;
         self.forwards.insert(forward, target);
-        self.unaccepted.insert((now, forward));
+        self.unaccepted.insert((cx.now, forward));
         let request = delivery.request.clone();
-        out.push(FrontAction::Decision(RouteDecision {
+        cx.out.push(FrontAction::Decision(RouteDecision {
             request: request.id,
             chosen: Some(shard.clone()),
             runner_up,
             reason: route.reason.into(),
         }));
-        out.push(FrontAction::Forward { forward, to: owner, shard, request });
+        cx.out.push(FrontAction::Forward { forward, to: owner, shard, request });
         true
     }
 }
--- a/yuccahoist/src/front/mod.rs
+++ b/yuccahoist/src/front/mod.rs
@@ -33,6 +33,13 @@
 /// Time between two queries for the answer of another host.
 const QUERY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time and randomness of an event, and the actions that it leads to.
+struct Context<'a> {
+    now: Timestamp,
+    rng: &'a mut dyn Rng,
+    out: &'a mut Vec<FrontAction>,
+}
+
 /// Open call.
 #[derive(Debug)]
 struct Call {
@@ -102,27 +109,21 @@
         self.wall_at(now).minus(window)
     }
 
-    fn call(
-        &mut self,
-        now: Timestamp,
-        (call, wall, request): (CallId, WallTime, Request),
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) {
+    fn call(&mut self, cx: &mut Context<'_>, (call, wall, request): (CallId, WallTime, Request)) {
         if self.calls.contains_key(&call) {
             return;
         }
-        self.wall = (wall, now);
+        self.wall = (wall, cx.now);
         let (id, deadline, idempotent) = (request.id, request.deadline, request.idempotent);
-        if let Some((refusal, reason)) = self.admission(now, wall, &request) {
-            return refuse(call, id, refusal, reason, out);
+        if let Some((refusal, reason)) = self.admission(cx.now, wall, &request) {
+            return refuse(call, id, refusal, reason, cx.out);
         }
         self.calls.insert(call, Call { id, deadline, idempotent });
         self.deadlines.insert((deadline, call));
         if !idempotent {
-            self.register_call(now, call, request, rng, out);
-        } else if let Some(outcome) = self.deliveries.start(now, (Target::Call(call), request), rng, out) {
-            self.respond(call, outcome, out);
+            self.register_call(cx, call, request);
+        } else if let Some(outcome) = self.deliveries.start(cx, (Target::Call(call), request)) {
+            self.respond(call, outcome, cx.out);
         }
     }
 
@@ -155,27 +156,20 @@
     }
 
     /// Takes a call with a non-idempotent request.
-    fn register_call(
-        &mut self,
-        now: Timestamp,
-        call: CallId,
-        request: Request,
-        rng: &mut dyn Rng,
-        out: &mut Vec<FrontAction>,
-    ) {
+    fn register_call(&mut self, cx: &mut Context<'_>, call: CallId, request: Request) {
         let id = request.id;
         let (stage, first) = match self.register.get(id) {
             Some(entry) if entry.digest != digest(&request) => {
-                return self.respond(call, Outcome::NotRun(Refusal::IdReused), out);
+                return self.respond(call, Outcome::NotRun(Refusal::IdReused), cx.out);
             }
             Some(entry) => (Some(entry.stage.clone()), entry.first),
             None => (None, false),
         };
         match stage {
-            Some(Stage::Done(outcome)) => return self.respond(call, outcome, out),
+            Some(Stage::Done(outcome)) => return self.respond(call, outcome, cx.out),
             None | Some(Stage::Idle(_)) if !first => {
-                if let Some(refusal) = self.intent_refusal(now, &request) {
-                    return self.respond(call, Outcome::NotRun(refusal), out);
+                if let Some(refusal) = self.intent_refusal(cx.now, &request) {
+                    return self.respond(call, Outcome::NotRun(refusal), cx.out);
                 }
             }
             _ => {}
@@ -185,12 +179,12 @@
         }
         self.register.update(id, |entry| entry.attach(call, request));
         match stage {
-            Some(Stage::Elsewhere { first, .. }) => self.ask(now, id, first, out),
-            Some(Stage::Idle(_)) if first => self.forward_once(now, id, rng, out),
+            Some(Stage::Elsewhere { first, .. }) => self.ask(cx.now, id, first, cx.out),
+            Some(Stage::Idle(_)) if first => self.forward_once(cx, id),
             None | Some(Stage::Idle(_)) => {
                 self.set_stage(id, Stage::Pending);
                 self.batches.push(id);
-                self.flush(now, out);
+                self.flush(cx.now, cx.out);
             }
             _ => {}
         }
@@ -222,7 +216,7 @@
         }
     }
 
-    fn intent_first(&mut self, now: Timestamp, id: RequestId, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+    fn intent_first(&mut self, cx: &mut Context<'_>, id: RequestId) {
         self.batches.resolved(id);
         let Some(stage) = self.register.update(id, |entry| {
             let again = std::mem::replace(&mut entry.first, true);
@@ -231,23 +225,23 @@
             return;
         };
         if stage == Some(Stage::Pending) {
-            self.forward_once(now, id, rng, out);
+            self.forward_once(cx, id);
         }
     }
 
     /// Forwards a request whose id was appended by this host first, if a call still waits for it.
-    fn forward_once(&mut self, now: Timestamp, id: RequestId, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+    fn forward_once(&mut self, cx: &mut Context<'_>, id: RequestId) {
         let Some(entry) = self.register.get(id) else { return };
         let Some(request) = entry.request.clone() else { return };
         let latest =
             entry.calls.iter().filter_map(|call| self.calls.get(call)).map(|call| call.deadline).max();
-        let Some(deadline) = latest.filter(|deadline| now < *deadline) else {
+        let Some(deadline) = latest.filter(|deadline| cx.now < *deadline) else {
             return self.set_stage(id, Stage::Idle(Refusal::Expired));
         };
         self.register.update(id, |entry| (entry.stage, entry.request) = (Stage::Sent, None));
         let request = Request { deadline, ..request };
-        if let Some(outcome) = self.deliveries.start(now, (Target::Id(id), request), rng, out) {
-            self.conclude(id, outcome, out);
+        if let Some(outcome) = self.deliveries.start(cx, (Target::Id(id), request)) {
+            self.conclude(id, &outcome, cx.out);
         }
     }
 
@@ -265,7 +259,7 @@
         }
         if first == self.incarnation {
             // The earlier entry was dropped, so whether it was forwarded is not known any more.
-            return self.conclude(id, Outcome::Unknown(Doubt::Duplicate), out);
+            return self.conclude(id, &Outcome::Unknown(Doubt::Duplicate), out);
         }
         let waiting = !entry.calls.is_empty();
         self.set_stage(id, Stage::Elsewhere { first, asked: now });
@@ -277,7 +271,7 @@
     fn intent_too_old(&mut self, id: RequestId, out: &mut Vec<FrontAction>) {
         self.batches.resolved(id);
         if self.register.get(id).is_some_and(|entry| entry.stage == Stage::Pending) {
-            self.conclude(id, Outcome::NotRun(Refusal::IdTooOld), out);
+            self.conclude(id, &Outcome::NotRun(Refusal::IdTooOld), out);
         }
     }
 
@@ -286,7 +280,7 @@
         for id in ids {
             self.batches.resolved(*id);
             if self.register.get(*id).is_some_and(|entry| entry.stage == Stage::Pending) {
-                self.conclude(*id, Outcome::NotRun(Refusal::LogUnavailable), out);
+                self.conclude(*id, &Outcome::NotRun(Refusal::LogUnavailable), out);
             }
         }
     }
@@ -300,7 +294,7 @@
             self.batches.clear_pending();
             let ids = self.register.ids(|entry| entry.stage == Stage::Pending);
             for id in ids {
-                self.conclude(id, Outcome::NotRun(Refusal::LogUnavailable), out);
+                self.conclude(id, &Outcome::NotRun(Refusal::LogUnavailable), out);
             }
         }
     }
@@ -330,7 +324,7 @@
         out.push(FrontAction::ReplyAnswer { to: from, id, outcome });
     }
 
-    fn answer_reply(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<FrontAction>) {
+    fn answer_reply(&mut self, id: RequestId, outcome: &Outcome, out: &mut Vec<FrontAction>) {
         let Some(entry) = self.register.get(id) else { return };
         if !matches!(entry.stage, Stage::Elsewhere { .. }) {
             return;
@@ -345,8 +339,8 @@
     }
 
     /// Ends a non-idempotent request and answers all who wait for it.
-    fn conclude(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<FrontAction>) {
-        let stage = match &outcome {
+    fn conclude(&mut self, id: RequestId, outcome: &Outcome, out: &mut Vec<FrontAction>) {
+        let stage = match outcome {
             Outcome::NotRun(refusal) => Stage::Idle(refusal.clone()),
             _ => Stage::Done(outcome.clone()),
         };
@@ -369,7 +363,7 @@
     fn settle(&mut self, conclusion: Option<(Target, Outcome)>, out: &mut Vec<FrontAction>) {
         match conclusion {
             Some((Target::Call(call), outcome)) => self.respond(call, outcome, out),
-            Some((Target::Id(id), outcome)) => self.conclude(id, outcome, out),
+            Some((Target::Id(id), outcome)) => self.conclude(id, &outcome, out),
             None => {}
         }
     }
@@ -401,7 +395,7 @@
         self.respond(call, outcome, out);
         let left = self.register.get(id).is_some_and(|entry| entry.calls.is_empty());
         if !idempotent && left && self.register.get(id).is_some_and(|entry| entry.stage == Stage::Pending) {
-            self.conclude(id, Outcome::NotRun(Refusal::Expired), out);
+            self.conclude(id, &Outcome::NotRun(Refusal::Expired), out);
         }
     }
 
@@ -414,21 +408,21 @@
         }
     }
 
-    fn tick(&mut self, now: Timestamp, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
-        for conclusion in self.deliveries.tick(now, rng, out) {
-            self.settle(Some(conclusion), out);
+    fn tick(&mut self, cx: &mut Context<'_>) {
+        for conclusion in self.deliveries.tick(cx) {
+            self.settle(Some(conclusion), cx.out);
         }
         while let Some((deadline, call)) = self.deadlines.first().copied() {
-            if now + ANSWER_MARGIN < deadline {
+            if cx.now + ANSWER_MARGIN < deadline {
                 break;
             }
-            self.cut_off(call, out);
+            self.cut_off(call, cx.out);
         }
-        self.ask_again(now, out);
-        for id in self.register.trim(self.horizon(now)) {
-            self.deliveries.abandon(Target::Id(id), out);
+        self.ask_again(cx.now, cx.out);
+        for id in self.register.trim(self.horizon(cx.now)) {
+            self.deliveries.abandon(Target::Id(id), cx.out);
         }
-        self.flush(now, out);
+        self.flush(cx.now, cx.out);
     }
 
     /// Repeats queries that may have been lost.
@@ -457,53 +451,54 @@
     type Action = FrontAction;
 
     fn handle(&mut self, now: Timestamp, event: FrontEvent, rng: &mut dyn Rng, out: &mut Vec<FrontAction>) {
+        let cx = &mut Context { now, rng, out };
         match event {
-            FrontEvent::Call { call, wall, request } => self.call(now, (call, wall, request), rng, out),
-            FrontEvent::Hangup { call } => self.cut_off(call, out),
+            FrontEvent::Call { call, wall, request } => self.call(cx, (call, wall, request)),
+            FrontEvent::Hangup { call } => self.cut_off(call, cx.out),
             FrontEvent::Limits(limits) => {
                 self.deliveries.budget.set_share(limits.retry_share);
                 self.batches.set_limits(limits.intent_rate, limits.intent_batch);
                 self.limits = Some(limits);
             }
-            FrontEvent::Load { owner, shards } => self.deliveries.owners.set_load(now, owner, shards),
+            FrontEvent::Load { owner, shards } => self.deliveries.owners.set_load(cx.now, owner, shards),
             FrontEvent::Owner { shard, owner } => self.deliveries.owners.set_owner(shard, owner),
             FrontEvent::Suspected { incarnation, suspected } => {
                 self.deliveries.owners.set_suspected(incarnation, suspected);
             }
             FrontEvent::Accepted { forward } => self.deliveries.accepted(forward),
             FrontEvent::Finished { forward, outcome } => {
-                let conclusion = self.deliveries.finished(now, (forward, outcome), rng, out);
-                self.settle(conclusion, out);
+                let conclusion = self.deliveries.finished(cx, (forward, outcome));
+                self.settle(conclusion, cx.out);
             }
             FrontEvent::NotSent { forward } => {
-                let conclusion = self.deliveries.not_sent(now, forward, rng, out);
-                self.settle(conclusion, out);
+                let conclusion = self.deliveries.not_sent(cx, forward);
+                self.settle(conclusion, cx.out);
             }
             FrontEvent::OwnerLost { forward } => {
-                let conclusion = self.deliveries.owner_lost(now, forward, rng, out);
-                self.settle(conclusion, out);
+                let conclusion = self.deliveries.owner_lost(cx, forward);
+                self.settle(conclusion, cx.out);
             }
             FrontEvent::IntentFirst { id } => {
-                self.intent_first(now, id, rng, out);
-                self.flush(now, out);
+                self.intent_first(cx, id);
+                self.flush(cx.now, cx.out);
             }
             FrontEvent::IntentDuplicate { id, first } => {
-                self.intent_duplicate(now, id, first, out);
-                self.flush(now, out);
+                self.intent_duplicate(cx.now, id, first, cx.out);
+                self.flush(cx.now, cx.out);
             }
             FrontEvent::IntentTooOld { id } => {
-                self.intent_too_old(id, out);
-                self.flush(now, out);
+                self.intent_too_old(id, cx.out);
+                self.flush(cx.now, cx.out);
             }
             FrontEvent::IntentFailed { ids } => {
-                self.intent_failed(&ids, out);
-                self.flush(now, out);
+                self.intent_failed(&ids, cx.out);
+                self.flush(cx.now, cx.out);
             }
-            FrontEvent::LogAvailable(available) => self.log_available(available, out),
-            FrontEvent::AnswerQuery { from, id, digest } => self.answer_query(from, id, digest, out),
-            FrontEvent::AnswerReply { id, outcome } => self.answer_reply(id, outcome, out),
+            FrontEvent::LogAvailable(available) => self.log_available(available, cx.out),
+            FrontEvent::AnswerQuery { from, id, digest } => self.answer_query(from, id, digest, cx.out),
+            FrontEvent::AnswerReply { id, outcome } => self.answer_reply(id, &outcome, cx.out),
             FrontEvent::Stop => self.stopping = true,
-            FrontEvent::Tick => self.tick(now, rng, out),
+            FrontEvent::Tick => self.tick(cx),
         }
     }
 }
