--- a/yuccahoist/src/job/coordinator.rs
+++ b/yuccahoist/src/job/coordinator.rs
@@ -150,6 +150,11 @@
         Some(known.status())
     }
 
+    /// x
+    pub fn dump(&self, job: &JobId) -> String {
+        format!("{:?} SHARDS {:?} ROOMS {:?} PENDING {:?}", self.jobs.get(job), self.shards, self.rooms, self.pending)
+    }
+
     /// Resources that count against a team's quota now.
     #[must_use]
     pub fn usage(&self, team: &TeamId) -> Resources {
@@ -256,7 +261,7 @@
             .jobs
             .iter()
             .filter(|(id, job)| {
-                !job.service && snapshot.jobs.get(*id).is_none_or(|state| state.end.is_some())
+                !job.configured && snapshot.jobs.get(*id).is_none_or(|state| state.end.is_some())
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -289,15 +294,15 @@
         }
     }
 
-    fn add_job(&mut self, spec: JobSpec, order: u64, service: bool) {
+    fn add_job(&mut self, spec: JobSpec, order: u64, configured: bool) {
         let id = spec.id.clone();
         if self.jobs.contains_key(&id) {
             return;
         }
         let partition = partition_of(&spec.team);
         // No earlier coordinator can have seen a job whose record follows the mark.
-        let fresh = !service && self.partitions.get(&partition).is_some_and(|owned| owned.marked);
-        self.jobs.insert(id.clone(), Job::new(spec, order, service, fresh));
+        let fresh = !configured && self.partitions.get(&partition).is_some_and(|owned| owned.marked);
+        self.jobs.insert(id.clone(), Job::new(spec, order, configured, fresh));
         self.enqueue(&id);
     }
 
@@ -354,7 +359,7 @@
     }
 
     fn configure(&mut self, now: Timestamp, settings: CoordinatorSettings) {
-        let changed = |job: &Job| job.service && settings.services.get(&job.spec.id) != Some(&job.spec);
+        let changed = |job: &Job| job.configured && settings.services.get(&job.spec.id) != Some(&job.spec);
         let gone: Vec<_> =
             self.jobs.iter().filter(|(_, job)| changed(job)).map(|(id, _)| id.clone()).collect();
         for id in gone {
@@ -456,10 +461,10 @@
                 let ended = job.last.get(&index).is_some_and(|last| report.attempt <= *last);
                 let unwanted = ended || job.is_over(index) || job.cancelled || index.0 >= job.spec.tasks;
                 let id = report.task.job.clone();
-                self.remove_run(&id, index);
                 if unwanted {
                     self.add_stray(now, key, run);
                 } else {
+                    self.remove_run(&id, index);
                     self.add_run(&id, index, run);
                 }
             }
--- a/yuccahoist/src/job/coordinator/gang.rs
+++ b/yuccahoist/src/job/coordinator/gang.rs
@@ -12,7 +12,6 @@
 use super::{Coordinator, Pending, Turn};
 use crate::id::{JobId, ShardId, TaskIndex, WorkerId};
 use crate::job::{ShardRequestBody, WaitReason};
-use crate::placement::copies;
 use crate::unit::Timestamp;
 
 /// Time within which all reservations of a gang must succeed; below the length of a reservation with its delivery.
@@ -20,7 +19,7 @@
 /// First wait after a failed round; doubles with each failure and varies by half.
 const BACKOFF: Duration = Duration::from_millis(100);
 /// Longest wait after a failed round.
-const BACKOFF_LIMIT: Duration = Duration::from_secs(5);
+const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
 
 /// Gang that is being placed.
 #[derive(Debug)]
@@ -77,7 +76,7 @@
             .shards
             .iter()
             .filter(|(_, view)| view.has_room(now, need))
-            .map(|(shard, view)| (copies(need, view.room.total), shard.clone()))
+            .map(|(shard, view)| (view.expected(now, need), shard.clone()))
             .filter(|(room, _)| *room > 0)
             .collect();
         // The smallest shard that takes the whole gang comes first; without one, the roomiest do.
--- a/yuccahoist/src/job/coordinator/schedule.rs
+++ b/yuccahoist/src/job/coordinator/schedule.rs
@@ -336,6 +336,7 @@
             pending.tasks.keys().filter(|index| !placed.contains_key(index)).copied().collect();
         self.give_back(&pending, &unplaced);
         if !unplaced.is_empty() {
+            self.cap(turn.now, &pending, u32::try_from(placed.len()).unwrap_or(u32::MAX));
             self.refuse(turn, &pending);
         }
         let Some(job) = self.jobs.get_mut(&pending.job) else {
@@ -404,6 +405,12 @@
         self.enqueue(&pending.job);
     }
 
+    fn cap(&mut self, now: Timestamp, pending: &Pending, count: u32) {
+        if let Some(view) = self.shards.get_mut(&pending.shard) {
+            view.cap(now, pending.need, count);
+        }
+    }
+
     fn refuse(&mut self, turn: &Turn<'_>, pending: &Pending) {
         if let Some(view) = self.shards.get_mut(&pending.shard) {
             view.refuse(turn.now, pending.need, pending.preempt);
@@ -417,6 +424,7 @@
         };
         let indices: Vec<_> = pending.tasks.keys().copied().collect();
         self.give_back(&pending, &indices);
+        self.cap(turn.now, &pending, 0);
         self.refuse(turn, &pending);
         if self.jobs.get(&pending.job).is_some_and(|job| job.gang.is_some()) {
             self.gang_missing(turn, &pending.job);
--- a/yuccahoist/src/job/coordinator/shards.rs
+++ b/yuccahoist/src/job/coordinator/shards.rs
@@ -7,6 +7,7 @@
 use super::{Coordinator, End, Turn};
 use crate::id::{Epoch, Incarnation, PartitionId, ShardId, TaskId};
 use crate::job::{Room, ShardRequestBody, TaskReport, TaskState};
+use crate::placement::copies;
 use crate::unit::{Resources, Timestamp};
 
 /// Time between requests for the list of a shard that has not listed completely.
@@ -22,6 +23,9 @@
 /// Time for which a shard is not asked again for a size that it refused.
 pub(super) const REFUSAL: Duration = Duration::from_millis(300);
 
+/// Time for which the number of tasks that fitted limits the next estimate.
+const CAP: Duration = Duration::from_secs(4);
+
 /// Shards by accelerators and free processors.
 pub(super) type RoomIndex = BTreeSet<(bool, u64, ShardId)>;
 
@@ -36,6 +40,8 @@
     pub reported: Option<Timestamp>,
     /// Time of the last request for a list, per partition.
     asked: BTreeMap<PartitionId, Timestamp>,
+    /// Tasks of a size that fitted when more were asked for, and until when that counts.
+    caps: Vec<(Resources, u32, Timestamp)>,
     /// Sizes that were refused, until when, and whether lower priorities would have had to leave.
     refused: Vec<(Resources, Timestamp, bool)>,
 }
@@ -49,6 +55,19 @@
             && !self.is_refused(now, need, false)
     }
 
+    /// Tasks of this size that are expected to find room.
+    pub fn expected(&self, now: Timestamp, need: Resources) -> u32 {
+        let caps = self.caps.iter().filter(|(size, _, until)| now < *until && size.fits(need));
+        let cap = caps.map(|(_, count, _)| *count).min().unwrap_or(u32::MAX);
+        copies(need, self.room.total).min(cap)
+    }
+
+    /// Notes that no more than `count` tasks of this size fitted, because free capacity is spread over workers.
+    pub fn cap(&mut self, now: Timestamp, need: Resources, count: u32) {
+        self.caps.retain(|(size, _, until)| now < *until && *size != need);
+        self.caps.push((need, count, now + CAP));
+    }
+
     /// Whether a task of this size was refused a short time ago.
     pub fn is_refused(&self, now: Timestamp, need: Resources, preempt: bool) -> bool {
         self.refused.iter().any(|(size, until, kind)| now < *until && *kind == preempt && size.fits(need))
--- a/yuccahoist/src/job/coordinator/table.rs
+++ b/yuccahoist/src/job/coordinator/table.rs
@@ -6,7 +6,7 @@
 use super::gang::GangPlan;
 use super::{RETRY, RETRY_LIMIT, SUSPEND, SUSPEND_LIMIT, SUSPEND_WORKERS};
 use crate::id::{Attempt, JobId, PartitionId, ShardId, TaskIndex, TeamId, WorkerId};
-use crate::job::{JobEnd, JobSpec, JobStatus, WaitReason, partition_of};
+use crate::job::{JobEnd, JobKind, JobSpec, JobStatus, WaitReason, partition_of};
 use crate::unit::{Resources, Timestamp};
 
 /// Longest run of doublings of a wait; 2^16 times the first wait is above every limit.
@@ -70,7 +70,9 @@
     pub partition: PartitionId,
     /// Position in the order of submission.
     pub order: u64,
-    /// Whether it comes from the configuration and has no end.
+    /// Whether it comes from the configuration and not from the log.
+    pub configured: bool,
+    /// Whether its tasks are started again whenever they end.
     pub service: bool,
     /// Whether no earlier coordinator can have started tasks of it.
     pub fresh: bool,
@@ -111,12 +113,13 @@
 }
 
 impl Job {
-    pub fn new(spec: JobSpec, order: u64, service: bool, fresh: bool) -> Self {
+    pub fn new(spec: JobSpec, order: u64, configured: bool, fresh: bool) -> Self {
         Self {
             partition: partition_of(&spec.team),
+            service: spec.kind == JobKind::Service,
             spec,
             order,
-            service,
+            configured,
             fresh,
             cancelled: false,
             done: BTreeSet::new(),
@@ -176,7 +179,8 @@
                 }
                 None => break,
             };
-            if !self.is_over(index) && !self.runs.contains_key(&index) {
+            // An adopted task may wait again although `next` has not reached it.
+            if !self.is_over(index) && !self.runs.contains_key(&index) && !taken.contains(&index) {
                 taken.push(index);
             }
         }
@@ -209,10 +213,10 @@
 
     /// End to be logged; none while tasks may run or are left.
     pub fn end(&self) -> Option<JobEnd> {
-        if self.service || !self.runs.is_empty() {
+        if self.configured || !self.runs.is_empty() {
             return None;
         }
-        if self.done.len() >= self.spec.tasks as usize {
+        if !self.service && self.done.len() >= self.spec.tasks as usize {
             return Some(JobEnd::Succeeded);
         }
         if self.cancelled {
--- a/yuccahoist/src/placement/message.rs
+++ b/yuccahoist/src/placement/message.rs
@@ -95,6 +95,18 @@
     pub tasks: Vec<InventoryTask>,
 }
 
+impl Inventory {
+    /// Whether an attempt runs.
+    #[must_use]
+    pub fn is_running(&self, (task, attempt): &(TaskId, Attempt)) -> bool {
+        self.tasks.iter().any(|found| {
+            found.start.task == *task
+                && found.start.attempt == *attempt
+                && found.state == WorkerTaskState::Running
+        })
+    }
+}
+
 /// Task in a worker's inventory.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InventoryTask {
--- a/yuccahoist/src/placement/owner.rs
+++ b/yuccahoist/src/placement/owner.rs
@@ -268,8 +268,9 @@
         let Some(sent) = worker.pending.remove(&ticket) else { return };
         let silent = worker.listed.is_none_or(|listed| now.since(listed) >= SILENCE_LIMIT);
         let mut changed = Vec::new();
+        let throttle = sent.throttle.filter(|(key, _)| inventory.is_running(key));
         worker.merge(sent.at, inventory, &mut changed);
-        if let Some((key, limit)) = sent.throttle
+        if let Some((key, limit)) = throttle
             && let Some(held) = worker.held.get_mut(&key)
         {
             held.throttle = Some(limit);
--- a/yuccahoist/src/placement/owner/preempt.rs
+++ b/yuccahoist/src/placement/owner/preempt.rs
@@ -2,7 +2,7 @@
 
 use super::{Placement, THROTTLE_PART};
 use crate::id::{ShardId, WorkerId};
-use crate::job::{JobKind, ShardReplyBody, TaskOrder, WaitReason};
+use crate::job::{JobKind, ShardReplyBody, TaskOrder, TaskState, WaitReason};
 use crate::placement::ledger::{Held, Key, Ledger, StopOrder};
 use crate::placement::message::{PlacementAction, PlacementDecision, WorkerCommand};
 use crate::unit::{CpuMillis, Resources, Timestamp};
@@ -45,7 +45,7 @@
         self.workers_of(shard)
             .filter(|worker| !order.avoid.contains(&worker.spec.worker))
             .filter(|worker| self.is_ready(now, &worker.spec.worker))
-            .filter_map(|worker| Some((plan_on(worker, order)?, worker)))
+            .filter_map(|worker| Some((plan_on(now, worker, order)?, worker)))
             .min_by_key(|((cost, _), worker)| (*cost, worker.spec.worker.clone()))
             .map(|((_, plan), worker)| (worker.spec.worker.clone(), plan))
     }
@@ -56,11 +56,11 @@
         let mut commands = Vec::new();
         for key in &plan.victims {
             let Some(held) = worker.held.get_mut(key) else { continue };
-            if plan.throttle {
+            if plan.throttle && held.state == TaskState::Running && now >= held.settled {
                 let resources = throttled(held);
                 let (task, attempt) = key.clone();
                 commands.push(WorkerCommand::Throttle { epoch, task, attempt, resources });
-            } else {
+            } else if !plan.throttle {
                 held.stop = Some(StopOrder { asked: now, sent: None, checkpoint: true });
             }
         }
@@ -111,7 +111,7 @@
 }
 
 /// Victims on one worker with a cost: highest priority among them, then their number.
-fn plan_on(worker: &Ledger, order: &TaskOrder) -> Option<((u8, bool, usize), Plan)> {
+fn plan_on(now: Timestamp, worker: &Ledger, order: &TaskOrder) -> Option<((u8, bool, usize), Plan)> {
     let stays = |held: &&Held| held.stop.is_none();
     let charged = worker.held.values().filter(stays).fold(worker.reserved, |sum, held| sum + held.charge());
     if !order.resources.fits(worker.spec.capacity) {
@@ -128,9 +128,11 @@
             break;
         }
         left -= held.charge();
-        let limit = throttled(held);
-        let freed = held.charge().cpu.saturating_sub(limit.cpu);
-        throttled_left -= Resources { cpu: freed, ..Resources::ZERO };
+        // A throttle that overtakes the start of its task has no effect.
+        if held.state == TaskState::Running && now >= held.settled {
+            let freed = held.charge().cpu.saturating_sub(throttled(held).cpu);
+            throttled_left -= Resources { cpu: freed, ..Resources::ZERO };
+        }
         chosen.push((key.clone(), held.start.priority.0));
     }
     let throttle = throttled_left.fits(worker.spec.capacity);
