--- a/yuccahoist/src/job/coordinator.rs
+++ b/yuccahoist/src/job/coordinator.rs
@@ -152,7 +152,13 @@
 
     /// x
     pub fn dump(&self, job: &JobId) -> String {
-        format!("{:?} SHARDS {:?} ROOMS {:?} PENDING {:?}", self.jobs.get(job), self.shards, self.rooms, self.pending)
+        format!(
+            "{:?} SHARDS {:?} ROOMS {:?} PENDING {:?}",
+            self.jobs.get(job),
+            self.shards,
+            self.rooms,
+            self.pending
+        )
     }
 
     /// Resources that count against a team's quota now.
--- a/yuccahoist/tests/job_cases.rs
+++ b/yuccahoist/tests/job_cases.rs
@@ -14,9 +14,11 @@
     fleet.submit(job("batch", "team-0", JobKind::Batch, 60, Resources::new(3_000, 8_000, 0)));
     fleet.submit(job("gang-a", "team-2", JobKind::Gang, 14, Resources::new(8_000, 2_000, 0)));
     fleet.submit(job("gang-b", "team-3", JobKind::Gang, 14, Resources::new(8_000, 2_000, 0)));
-    for t in [109,110,112,115,120,130,140,160,200] {
+    for t in [109, 110, 112, 115, 120, 130, 140, 160, 200] {
         fleet.run_to(t);
-        for id in ["batch","gang-a","gang-b"] { println!("{t} {id} {:?} {:?}", fleet.status(id), fleet.end(id)); }
+        for id in ["batch", "gang-a", "gang-b"] {
+            println!("{t} {id} {:?} {:?}", fleet.status(id), fleet.end(id));
+        }
     }
     println!("{:?}", fleet.violations);
     panic!();
--- /dev/null
+++ b/yuccahoist_cli/src/demo/invariant.rs
@@ -0,0 +1,61 @@
+//! Invariants by name.
+
+use serde::Serialize;
+
+/// Invariant that every run must keep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Invariant {
+    /// No worker gets more than its processors, memory, accelerators, slots and connections.
+    Capacity,
+    /// No task runs in two places at once.
+    OnePlace,
+    /// Each caller gets the whole answer to its own request.
+    OwnAnswer,
+    /// A request that was answered `not-run` did not run.
+    NotRun,
+    /// A non-idempotent request runs at most once.
+    AtMostOnce,
+    /// A leaving backend server gets no new work after a few seconds.
+    Drain,
+    /// A planned stop cuts off no request.
+    GracefulStop,
+    /// An accepted edit is in force everywhere in time and never reverts.
+    Configuration,
+    /// Every request is answered exactly once, before its deadline.
+    Answered,
+    /// Every job ends as expected.
+    Jobs,
+}
+
+impl Invariant {
+    /// All invariants.
+    pub(crate) const ALL: [Self; 10] = [
+        Self::Capacity,
+        Self::OnePlace,
+        Self::OwnAnswer,
+        Self::NotRun,
+        Self::AtMostOnce,
+        Self::Drain,
+        Self::GracefulStop,
+        Self::Configuration,
+        Self::Answered,
+        Self::Jobs,
+    ];
+
+    /// Statement.
+    pub(crate) const fn statement(self) -> &'static str {
+        match self {
+            Self::Capacity => "no worker gets more than its capacity, slots and connections",
+            Self::OnePlace => "no task runs in two places at once",
+            Self::OwnAnswer => "each caller gets the whole answer to its own request",
+            Self::NotRun => "a request answered not-run did not run",
+            Self::AtMostOnce => "a non-idempotent request runs at most once",
+            Self::Drain => "a leaving backend server gets no new work after 3 s",
+            Self::GracefulStop => "a planned stop cuts off no request",
+            Self::Configuration => "an edit is in force everywhere within 3 s and stays",
+            Self::Answered => "every request is answered once, before its deadline",
+            Self::Jobs => "every job ends as expected",
+        }
+    }
+}
--- /dev/null
+++ b/yuccahoist_cli/src/demo/mod.rs
@@ -0,0 +1,130 @@
+//! Demonstration: several entry hosts under a mixed load, with failures on the way.
+//!
+//! Everything runs in this process. The invariants are checked against the stand-ins' own records of what they ran, not
+//! against what the hosts report.
+
+mod caller;
+mod checks;
+mod invariant;
+mod jobs;
+mod load;
+mod report;
+mod script;
+
+use std::io::IsTerminal;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use thiserror::Error;
+use yuccahoist_standins::cluster::{Cluster, ClusterError, ClusterOptions};
+
+use self::caller::Callers;
+use self::report::Report;
+
+/// Time limit for the start of all hosts.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// runs entry hosts, stand-ins and a mixed load in one process, with failures on the way, and checks every invariant
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct DemoArgs {
+    /// seed of the load (1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// length of the load, seconds, 10 to 600 (12)
+    #[argh(option, default = "12")]
+    pub seconds: u64,
+    /// number of entry hosts, 3 to 9 (5)
+    #[argh(option, default = "5")]
+    pub hosts: usize,
+    /// print the report as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Reason why the demo cannot run.
+#[derive(Debug, Error)]
+pub enum DemoError {
+    /// Argument is out of range.
+    #[error("--{field} is {value}; allowed: {allowed}")]
+    Argument {
+        /// Name of the option.
+        field: &'static str,
+        /// Value given.
+        value: u64,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+    /// Cluster failed.
+    #[error("{0}")]
+    Cluster(#[from] ClusterError),
+    /// Report cannot be written.
+    #[error("writing the report failed: {0}")]
+    Report(#[from] serde_json::Error),
+}
+
+/// Runs the demo; the exit code is non-zero if an invariant was violated.
+///
+/// # Errors
+///
+/// Fails when an argument is out of range or the cluster does not start.
+pub async fn run(args: DemoArgs) -> Result<ExitCode, DemoError> {
+    check(&args)?;
+    let progress = Progress::new(args.json);
+    progress.say("starting hosts and stand-ins");
+    let options = ClusterOptions { hosts: args.hosts, ..ClusterOptions::default() };
+    let mut cluster = Cluster::start(options).await?;
+    cluster.wait_all("configuration in force", START_LIMIT, |status| status.ready).await?;
+    let owned = cluster.wait_owned(START_LIMIT).await?;
+    progress.say(&format!("all racks and partitions are owned after {} ms", owned.as_millis()));
+    let callers = Callers::new(cluster.client().clone(), cluster.hosts.values().map(|host| host.api));
+    let rng = ChaCha8Rng::seed_from_u64(args.seed);
+    let length = Duration::from_secs(args.seconds);
+    let load = tokio::spawn(load::run(callers.clone(), rng, length));
+    let script = script::run(&mut cluster, &callers, length, &progress).await?;
+    let calls = load.await.unwrap_or_default();
+    progress.say("waiting for jobs");
+    let jobs = jobs::finish(&cluster, &callers).await;
+    let report = Report::new(args.seed, &cluster, &calls, &script, &jobs);
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    for name in cluster.hosts.keys().cloned().collect::<Vec<_>>() {
+        cluster.stop(&name).await;
+    }
+    Ok(if report.violations() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn check(args: &DemoArgs) -> Result<(), DemoError> {
+    if !(10..=600).contains(&args.seconds) {
+        return Err(DemoError::Argument { field: "seconds", value: args.seconds, allowed: "10 to 600" });
+    }
+    if !(3..=9).contains(&args.hosts) {
+        return Err(DemoError::Argument { field: "hosts", value: args.hosts as u64, allowed: "3 to 9" });
+    }
+    Ok(())
+}
+
+/// Lines on the terminal while the demo runs.
+pub(crate) struct Progress {
+    shown: bool,
+    start: std::time::Instant,
+}
+
+impl Progress {
+    fn new(json: bool) -> Self {
+        let shown = !json && std::io::stderr().is_terminal();
+        Self { shown, start: std::time::Instant::now() }
+    }
+
+    pub(crate) fn say(&self, text: &str) {
+        if self.shown {
+            eprintln!("[{:6.2} s] {text}", self.start.elapsed().as_secs_f64());
+        }
+    }
+}
--- a/yuccahoist_cli/src/main.rs
+++ b/yuccahoist_cli/src/main.rs
@@ -1,30 +1,32 @@
 //! Command line of yuccahoist.
 
-mod cli;
-mod command;
-mod config_log;
-mod documents;
-mod error;
+mod demo;
 
 use std::process::ExitCode;
 
-fn main() -> ExitCode {
-    let cli = match cli::parse(std::env::args()) {
-        Ok(cli) => cli,
-        Err(code) => return code,
-    };
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("start runtime: {error}");
-            return ExitCode::from(error::USAGE_OR_IO);
-        }
-    };
-    match runtime.block_on(command::run(cli.command)) {
-        Ok(()) => ExitCode::SUCCESS,
+use argh::FromArgs;
+
+/// operates a yuccahoist cell
+#[derive(FromArgs)]
+struct Cli {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(demo::DemoArgs),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let Cli { command: Command::Demo(args) } = argh::from_env();
+    match demo::run(args).await {
+        Ok(code) => code,
         Err(error) => {
             eprintln!("{error}");
-            error.exit_code()
+            ExitCode::from(2)
         }
     }
 }
