Answer duplicates of a failed host's request at once

A call whose id was first appended by a host that died waited until its deadline, up to 30 s in the demo. It is now answered unknown when that host is suspected or has left the view; a later duplicate still asks that host.

--- a/yuccahoist/src/front/mod.rs
+++ b/yuccahoist/src/front/mod.rs
@@ -338,6 +338,15 @@
         }
     }
 
+    /// Answers all who wait for a request of a host that has probably failed, rather than at their deadlines. A later
+    /// duplicate asks that host again.
+    fn answer_doubt(&mut self, id: RequestId, out: &mut Vec<FrontAction>) {
+        let calls = self.register.get(id).map(|entry| entry.calls.clone());
+        for call in calls.into_iter().flatten() {
+            self.respond(call, Outcome::Unknown(Doubt::Duplicate), out);
+        }
+    }
+
     /// Ends a non-idempotent request and answers all who wait for it.
     fn conclude(&mut self, id: RequestId, outcome: &Outcome, out: &mut Vec<FrontAction>) {
         let stage = match outcome {
@@ -435,7 +444,11 @@
             })
             .collect();
         for (id, first) in due {
-            self.ask(now, id, first, out);
+            if self.deliveries.owners.is_suspected(first) {
+                self.answer_doubt(id, out);
+            } else {
+                self.ask(now, id, first, out);
+            }
         }
     }
 }
--- a/yuccahoist/src/front/owners.rs
+++ b/yuccahoist/src/front/owners.rs
@@ -51,6 +51,10 @@
         }
     }
 
+    pub(super) fn is_suspected(&self, incarnation: Incarnation) -> bool {
+        self.suspected.contains(&incarnation)
+    }
+
     /// Takes summaries; a host that reads no log learns the owners from them, too.
     pub(super) fn set_load(&mut self, now: Timestamp, owner: Incarnation, summaries: Vec<LoadSummary>) {
         self.silent.remove(&owner);
--- a/yuccahoist/src/host/control.rs
+++ b/yuccahoist/src/host/control.rs
@@ -48,7 +48,9 @@
                 OwnershipAction::Lost { subject, epoch } => self.lost(subject, epoch, turn),
                 OwnershipAction::Owner { subject, owner } => self.owner(subject, owner),
                 OwnershipAction::View(members) => {
-                    self.peers.set_view(&members);
+                    for incarnation in self.peers.set_view(&members) {
+                        self.suspected(incarnation, true);
+                    }
                     self.steps.push_back(Step::Membership(MembershipEvent::View(members)));
                 }
             }
--- a/yuccahoist/src/host/peers.rs
+++ b/yuccahoist/src/host/peers.rs
@@ -63,7 +63,9 @@
         }
     }
 
-    pub(super) fn set_view(&mut self, members: &[Member]) {
+    /// Replaces the members and returns those that are none any more.
+    pub(super) fn set_view(&mut self, members: &[Member]) -> Vec<Incarnation> {
+        let before = std::mem::take(&mut self.members);
         self.members = members.iter().map(|member| (member.incarnation, member.address)).collect();
         self.guests.retain(|incarnation, _| !self.members.contains_key(incarnation));
         let guests = &self.guests;
@@ -71,6 +73,7 @@
         self.known
             .retain(|incarnation, _| members.contains_key(incarnation) || guests.contains_key(incarnation));
         self.load_sent.retain(|incarnation, _| members.contains_key(incarnation));
+        before.into_keys().filter(|incarnation| !members.contains_key(incarnation)).collect()
     }
 
     pub(super) fn in_view(&self, incarnation: Incarnation) -> bool {
--- a/yuccahoist/tests/front.rs
+++ b/yuccahoist/tests/front.rs
@@ -552,3 +552,22 @@
         assert_eq!(model.answers()[1], (9, answer("still served")), "{}", case.name);
     }
 }
+
+/// Guards against callers that wait until their deadline for the answer of a host that has failed.
+#[test]
+fn duplicate_of_a_failed_host_is_answered_unknown_at_once() {
+    let mut model = Model::new();
+    let request = request(1, false);
+    let first = OWNERS[2];
+    model.call(1, request.clone());
+    model.event(FrontEvent::IntentDuplicate { id: request.id, first });
+    model.pass(Duration::from_millis(300));
+    assert_eq!(model.answers(), []);
+    model.event(FrontEvent::Suspected { incarnation: first, suspected: true });
+    model.pass(Duration::from_millis(300));
+    assert_eq!(model.answers(), [(1, Outcome::Unknown(Doubt::Duplicate))]);
+    model.event(FrontEvent::Suspected { incarnation: first, suspected: false });
+    model.call(2, request.clone());
+    model.event(FrontEvent::AnswerReply { id: request.id, outcome: answer("once") });
+    assert_eq!(model.answers().last(), Some(&(2, answer("once"))));
+}
