--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -141,7 +141,7 @@
         let (api, peer) = self.addresses;
         let name = format!("host-{}", self.settings.host.name);
         let main = Builder::new_current_thread().enable_all().build().map_err(StartError::Thread)?;
-        let io = io_runtime(self.settings.host.io_threads).map_err(StartError::Thread)?;
+        let io = io_runtime(&name, self.settings.host.io_threads).map_err(StartError::Thread)?;
         let assembly = Assembly { daemon: self, host, platform, metrics };
         let thread = std::thread::Builder::new()
             .name(name)
@@ -170,11 +170,16 @@
     Ok(listener)
 }
 
-fn io_runtime(threads: usize) -> std::io::Result<Option<Runtime>> {
+fn io_runtime(host: &str, threads: usize) -> std::io::Result<Option<Runtime>> {
     if threads == 0 {
         return Ok(None);
     }
-    Builder::new_multi_thread().worker_threads(threads).thread_name("io").enable_all().build().map(Some)
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(format!("{host}-io"))
+        .enable_all()
+        .build()
+        .map(Some)
 }
 
 /// Command to a running host.
