Confirm peer deliveries together and keep as many idle backend connections as a worker allows

Each delivery cost a write and a read at both ends for its confirmation, and 64 callers at one worker made the HTTP client open a new connection for most requests (connect was 2.7 % of all processor time). Confirmations now leave after 10 ms or 64 deliveries, and 64 idle connections are kept.

--- a/yuccahoist/src/peer/link.rs
+++ b/yuccahoist/src/peer/link.rs
@@ -15,13 +15,13 @@
 use futures::future::LocalBoxFuture;
 use futures::io::{BufReader, BufWriter};
 use futures::stream::FuturesUnordered;
-use futures::{AsyncReadExt, FutureExt, StreamExt};
+use futures::{FutureExt, StreamExt};
 use rand::RngExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
-use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use xtra::Address;
 
 use super::peer_capnp::peer;
@@ -40,8 +40,9 @@
 const QUEUE_BYTES: usize = 64 << 20;
 /// Bodies in one delivery, bytes; a larger body goes alone.
 const BATCH_BYTES: usize = 1 << 20;
-/// Deliveries that are not confirmed. More than the round trip between zones needs at full rate.
-const WINDOW: usize = 64;
+/// Deliveries that are not confirmed. More than the delay of confirmations and the round trip between zones need at
+/// full rate.
+pub(super) const WINDOW: usize = 256;
 /// Buffer of each direction of a connection, bytes.
 pub(super) const BUFFER: usize = 64 << 10;
 /// Longest time to connect and to agree on the incarnations.
@@ -394,10 +395,10 @@
 
 impl Connection {
     fn new(stream: TcpStream) -> Self {
-        let (reader, writer) = stream.compat().split();
+        let (reader, writer) = stream.into_split();
         let network = VatNetwork::new(
-            BufReader::with_capacity(BUFFER, reader),
-            BufWriter::with_capacity(BUFFER, writer),
+            BufReader::with_capacity(BUFFER, reader.compat()),
+            BufWriter::with_capacity(BUFFER, writer.compat_write()),
             Side::Client,
             reader_options(),
         );
--- a/yuccahoist/src/peer/server.rs
+++ b/yuccahoist/src/peer/server.rs
@@ -10,13 +10,14 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
+use futures::FutureExt;
 use futures::io::{BufReader, BufWriter};
-use futures::{AsyncReadExt, FutureExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio::sync::Notify;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use xtra::Address;
 
-use super::link::BUFFER;
+use super::link::{BUFFER, WINDOW};
 use super::peer_capnp::peer;
 use super::reader_options;
 use super::wire::read_delivery;
@@ -29,6 +30,10 @@
 const CONNECTION_LIMIT: usize = 256;
 /// Longest time until a connection names its sender.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest delay of a confirmation.
+const CONFIRM_DELAY: Duration = Duration::from_millis(10);
+/// Deliveries that are confirmed together at most; a part of the sender's window, so that it never waits for the delay.
+const CONFIRM_COUNT: usize = WINDOW / 4;
 /// Pause after a failed accept, as when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -90,12 +95,17 @@
 }
 
 async fn connection(stream: TcpStream, number: u64, context: Rc<ServerContext>) {
-    let receiver = Rc::new(Receiver { number, sender: Cell::default(), context: Rc::clone(&context) });
+    let receiver = Rc::new(Receiver {
+        number,
+        sender: Cell::default(),
+        confirmations: Rc::default(),
+        context: Rc::clone(&context),
+    });
     let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.compat().split();
+    let (reader, writer) = stream.into_split();
     let network = VatNetwork::new(
-        BufReader::with_capacity(BUFFER, reader),
-        BufWriter::with_capacity(BUFFER, writer),
+        BufReader::with_capacity(BUFFER, reader.compat()),
+        BufWriter::with_capacity(BUFFER, writer.compat_write()),
         Side::Server,
         reader_options(),
     );
@@ -131,9 +141,45 @@
 struct Receiver {
     number: u64,
     sender: Cell<Option<Incarnation>>,
+    confirmations: Rc<Confirmations>,
     context: Rc<ServerContext>,
 }
 
+/// Deliveries that are handled but not confirmed.
+///
+/// A confirmation at once would cost a write and a read at both ends per delivery, which is as much as the delivery
+/// itself. Confirmations therefore leave together.
+#[derive(Default)]
+struct Confirmations {
+    waiting: Cell<usize>,
+    leave: Notify,
+}
+
+impl Confirmations {
+    /// Waits until enough deliveries are handled or the delay has passed.
+    async fn wait(self: Rc<Self>) {
+        let leave = self.leave.notified();
+        self.waiting.set(self.waiting.get() + 1);
+        match self.waiting.get() {
+            1 => {
+                let all = Rc::clone(&self);
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(CONFIRM_DELAY).await;
+                    all.send();
+                });
+            }
+            CONFIRM_COUNT => self.send(),
+            _ => {}
+        }
+        leave.await;
+    }
+
+    fn send(&self) {
+        self.waiting.set(0);
+        self.leave.notify_waiters();
+    }
+}
+
 impl Receiver {
     /// Reads a delivery and queues its messages at the host actor.
     fn accept(&self, params: &peer::DeliverParams) -> Result<Option<xtra::Receiver<()>>, Error> {
@@ -173,10 +219,11 @@
     ) -> impl Future<Output = Result<(), Error>> + 'static {
         let accepted = self.accept(&params);
         async move {
-            match accepted? {
-                Some(handled) => handled.await.map_err(|_| Error::disconnected("the host has ended".into())),
-                None => Ok(()),
+            if let Some(handled) = accepted? {
+                handled.await.map_err(|_| Error::disconnected("the host has ended".into()))?;
+                Rc::clone(&self.confirmations).wait().await;
             }
+            Ok(())
         }
     }
 }
--- a/yuccahoist/src/platform/http.rs
+++ b/yuccahoist/src/platform/http.rs
@@ -41,8 +41,8 @@
 /// Time after which an unused connection closes, so that earlier owners of a shard do not use up the connections of its
 /// workers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Unused connections that are kept per address.
-const IDLE_CONNECTIONS: usize = 8;
+/// Unused connections that are kept per address: as many as a worker allows. Requests in progress are limited by slots.
+const IDLE_CONNECTIONS: usize = 64;
 
 fn client(settings: &PlatformSettings) -> reqwest::Result<Client> {
     Client::builder()
--- a/yuccahoist_bench/src/bin/forwarding.rs
+++ b/yuccahoist_bench/src/bin/forwarding.rs
@@ -48,6 +48,9 @@
     /// requests per caller count and round (default 4000 with 1 caller, 8 times as many with 64)
     #[argh(option, default = "4000")]
     requests: usize,
+    /// numbers of callers, separated by commas (default 1,64)
+    #[argh(option, default = "\"1,64\".into()")]
+    callers: String,
 }
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
@@ -77,7 +80,8 @@
     let hosts = Hosts::start(backend, arguments.threads)?;
     let client = Client::builder().no_proxy().pool_max_idle_per_host(64).build()?;
     println!("threads {}, body {BODY} bytes, {} rounds", arguments.threads, arguments.rounds);
-    for count in [1, 64] {
+    for count in arguments.callers.split(',') {
+        let count: usize = count.parse()?;
         let requests = if count == 1 { arguments.requests } else { arguments.requests * 8 };
         let mut rounds: [Vec<Round>; 2] = Default::default();
         // One round of each to warm up.
@@ -117,7 +121,8 @@
         values[values.len() / 2]
     };
     println!("{callers} callers, medians");
-    let rows: [(&str, fn(&Round) -> f64); 4] = [
+    type Value = fn(&Round) -> f64;
+    let rows: [(&str, Value); 4] = [
         ("p50 us", |round| round.p50),
         ("p99 us", |round| round.p99),
         ("cpu us/request", |round| round.cpu),
