Run the host on a local runtime, size deliveries and confirm fewer of them together

A LocalSet within a runtime cost one empty epoll_wait per request, each call cleared a segment of 8 KiB, and 64 confirmations at once delayed the requests behind them. A link that ends for lack of messages now reports what was queued meanwhile as not sent.

--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Assembly of one entry host.
 //!
-//! A host has one thread with a `LocalSet`: Cap'n Proto objects cannot move between threads, and the host actor handles
+//! A host has one thread with a local runtime: Cap'n Proto objects cannot move between threads, and the host actor handles
 //! every event anyway, so that an event of a peer reaches it without waking another thread. Callers' HTTP and the
 //! platform clients run on the same thread, or on threads of their own when `io_threads` is set.
 
@@ -12,9 +12,9 @@
 use std::time::Duration;
 
 use thiserror::Error;
-use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::runtime::{Builder, Handle, LocalOptions, LocalRuntime, Runtime};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::MissedTickBehavior;
 use xtra::{Address, Mailbox};
 
@@ -140,16 +140,26 @@
         let incarnation = self.settings.host.incarnation;
         let (api, peer) = self.addresses;
         let name = format!("host-{}", self.settings.host.name);
-        let main = Builder::new_current_thread().enable_all().build().map_err(StartError::Thread)?;
         let io = io_runtime(&name, self.settings.host.io_threads).map_err(StartError::Thread)?;
         let assembly = Assembly { daemon: self, host, platform, metrics };
+        let (started, start) = std::sync::mpsc::channel();
         let thread = std::thread::Builder::new()
             .name(name)
             .spawn(move || {
-                run_thread(assembly, main, io, commands);
+                // The runtime cannot move between threads, so it is made here.
+                let main = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+                let (result, main) = match main {
+                    Ok(main) => (Ok(()), Some(main)),
+                    Err(error) => (Err(error), None),
+                };
+                let _ = started.send(result);
+                if let Some(main) = main {
+                    run_thread(assembly, main, io, commands);
+                }
                 let _ = finished.send(());
             })
             .map_err(StartError::Thread)?;
+        start.recv().unwrap_or_else(|error| Err(std::io::Error::other(error))).map_err(StartError::Thread)?;
         Ok(Running { api, peer, incarnation, control, ended, thread: Some(thread) })
     }
 
@@ -278,19 +288,17 @@
 
 fn run_thread(
     assembly: Assembly,
-    main: Runtime,
+    main: LocalRuntime,
     io: Option<Runtime>,
     commands: mpsc::UnboundedReceiver<Command>,
 ) {
-    let handle = io.as_ref().unwrap_or(&main).handle().clone();
-    let local = LocalSet::new();
-    local.block_on(&main, async {
+    let handle = io.as_ref().map_or(main.handle(), Runtime::handle).clone();
+    main.block_on(async {
         if let Err(error) = run(assembly, handle, commands).await {
             log::error!("the host cannot run: {error}");
         }
     });
     // Dropping a runtime ends its tasks and closes their sockets.
-    drop(local);
     drop(main);
     if let Some(io) = io {
         io.shutdown_background();
--- a/yuccahoist/src/peer/link.rs
+++ b/yuccahoist/src/peer/link.rs
@@ -8,7 +8,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use capnp::Error;
+use capnp::traits::HasTypeId;
+use capnp::{Error, MessageSize};
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
@@ -24,7 +25,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use xtra::Address;
 
-use super::peer_capnp::peer;
+use super::peer_capnp::peer::{self, deliver_params, deliver_results};
 use super::wire::{WireMessage, write_delivery};
 use super::{BATCH_LIMIT, MESSAGE_LIMIT, PeerMessage, reader_options};
 use crate::actor::{HostActor, Input, post};
@@ -51,9 +52,15 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without messages after which a connection is closed. Members of the view send heartbeats more often.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Room for one message without its body, words.
+const MESSAGE_WORDS: usize = 40;
+/// Room for a delivery and the call around it, words.
+const HEAD_WORDS: usize = 32;
 /// First and longest pause between attempts to connect.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
+type Delivery = capnp::capability::Request<deliver_params::Owned, deliver_results::Owned>;
+
 /// Message that waits for its peer.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -158,7 +165,7 @@
     }
 }
 
-/// Runs a task for each peer until [`PeerLinks`] is dropped. Must run in a `LocalSet`.
+/// Runs a task for each peer until [`PeerLinks`] is dropped. Must run where tasks can be spawned locally.
 pub async fn run_links(mut opener: LinkOpener, context: Rc<LinkContext>) {
     let mut tasks = tokio::task::JoinSet::new();
     while let Some(task) = opener.0.recv().await {
@@ -192,6 +199,15 @@
 
 impl LinkTask {
     async fn run(mut self, context: Rc<LinkContext>) {
+        self.run_until_idle(&context).await;
+        // A message may have been queued after the last look.
+        self.messages.close();
+        while let Some(outgoing) = self.try_next() {
+            self.not_sent(outgoing.message, &context);
+        }
+    }
+
+    async fn run_until_idle(&mut self, context: &LinkContext) {
         let mut pause = BACKOFF.0;
         let mut held = None;
         loop {
@@ -201,20 +217,20 @@
                     Ok(None) | Err(_) => return,
                 }
             }
-            match self.connect(&context).await {
+            match self.connect(context).await {
                 Ok(connection) => {
                     pause = BACKOFF.0;
-                    match self.transfer(connection, &mut held, &context).await {
+                    match self.transfer(connection, &mut held, context).await {
                         End::Closed => return,
-                        End::Lost(error) => self.lost(&error, &context),
+                        End::Lost(error) => self.lost(&error, context),
                     }
                 }
                 Err(error) => {
                     log::warn!("connecting to peer {} at {} failed: {error}", self.to, self.address);
                     if let Some(outgoing) = held.take() {
-                        self.not_sent(outgoing.message, &context);
+                        self.not_sent(outgoing.message, context);
                     }
-                    self.refuse_for(jitter(pause), &context).await;
+                    self.refuse_for(jitter(pause), context).await;
                     pause = (pause * 2).min(BACKOFF.1);
                 }
             }
@@ -351,7 +367,7 @@
         if batch.is_empty() {
             return Ok(None);
         }
-        let mut request = connection.client.deliver_request();
+        let mut request = connection.request(bytes, batch.len());
         write_delivery(&batch, request.get().init_delivery())?;
         Ok(Some(request.send().promise.map(|result| result.map(drop)).boxed_local()))
     }
@@ -408,6 +424,15 @@
     }
 }
 
+impl Connection {
+    /// Call whose first segment has room for the messages, so that no memory is cleared in vain.
+    fn request(&self, bytes: usize, messages: usize) -> Delivery {
+        let words = (bytes / 8 + messages * MESSAGE_WORDS + HEAD_WORDS) as u64;
+        let size = MessageSize { word_count: words, cap_count: 0 };
+        self.client.client.new_call(peer::Client::TYPE_ID, 0, Some(size))
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.system.abort();
--- a/yuccahoist/src/peer/server.rs
+++ b/yuccahoist/src/peer/server.rs
@@ -32,8 +32,9 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest delay of a confirmation.
 const CONFIRM_DELAY: Duration = Duration::from_millis(10);
-/// Deliveries that are confirmed together at most; a part of the sender's window, so that it never waits for the delay.
-const CONFIRM_COUNT: usize = WINDOW / 4;
+/// Deliveries that are confirmed together at most. A part of the sender's window, so that it never waits for the delay;
+/// 64 together raised the p99 of a single caller from 0.46 ms to 0.65 ms.
+const CONFIRM_COUNT: usize = WINDOW / 32;
 /// Pause after a failed accept, as when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -74,7 +75,7 @@
     }
 }
 
-/// Accepts connections of peers until it is dropped. Must run in a `LocalSet`.
+/// Accepts connections of peers until it is dropped. Must run where tasks can be spawned locally.
 pub async fn serve(listener: TcpListener, context: Rc<ServerContext>) {
     for number in 0.. {
         let stream = match listener.accept().await {
