--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -248,15 +248,18 @@
     ///
     /// # Errors
     ///
-    /// Fails when no signal handler can be installed.
+    /// Fails when no signal handler can be installed, or when the host ends without a signal.
     pub async fn until_signal(mut self) -> std::io::Result<()> {
         use tokio::signal::unix::{SignalKind, signal};
 
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        for text in ["stopping gracefully", "ending at once"] {
+        for (signals, text) in ["stopping gracefully", "ending at once"].into_iter().enumerate() {
             tokio::select! {
-                _ = &mut self.ended => return Ok(()),
+                _ = &mut self.ended => {
+                    let early = || std::io::Error::other("the host has ended without a signal");
+                    return if signals == 0 { Err(early()) } else { Ok(()) };
+                }
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
             }
@@ -327,7 +330,7 @@
         decisions: settings.logging.decisions,
     };
     let actor = HostActor::new(machine, Arc::clone(&clock), Box::new(effects), metrics);
-    spawn_local(xtra::run(mailbox, actor));
+    let mut acting = spawn_local(xtra::run(mailbox, actor));
     let links = spawn_links(opener, &host, own, &clock);
     let peer = tokio::net::TcpListener::from_std(daemon.peer)?;
     let context = ServerContext::new(host.clone(), own, Arc::clone(&clock));
@@ -353,14 +356,19 @@
         let _ = all_stopped.await;
         let _ = tokio::time::timeout(FLUSH_TIMEOUT, links).await;
     };
-    match commands.recv().await {
-        Some(Command::Stop) => tokio::select! {
-            () = stop => {}
-            _ = commands.recv() => {}
-        },
-        Some(Command::Kill) | None => {}
+    let stopping = async {
+        if let Some(Command::Stop) = commands.recv().await {
+            tokio::select! {
+                () = stop => {}
+                _ = commands.recv() => {}
+            }
+        }
+    };
+    // Without its actor the host would keep its addresses and answer nothing.
+    tokio::select! {
+        () = stopping => Ok(()),
+        _ = &mut acting => Err(std::io::Error::other("the state machine has panicked")),
     }
-    Ok(())
 }
 
 fn spawn_links(
--- a/yuccahoist/tests/daemon.rs
+++ b/yuccahoist/tests/daemon.rs
@@ -14,7 +14,7 @@
 use yuccahoist::request::{Answer, Class, Outcome, Request};
 use yuccahoist::unit::{Timestamp, WallTime};
 
-use self::common::{Puppet, platform, settings};
+use self::common::{Puppet, Script, platform, settings};
 
 fn request() -> Request {
     Request {
@@ -126,3 +126,19 @@
     assert!(calling.await.expect("no panic").is_err());
     assert!(puppet.events.recv().await.is_none());
 }
+
+/// Guards against a host that keeps its addresses after its state machine has failed.
+#[tokio::test]
+async fn failed_state_machine_ends_the_host() {
+    let machine = Script(|_, event, _: &mut Vec<HostAction>| {
+        assert!(!matches!(event, HostEvent::Call { .. }), "failure of the fake");
+    });
+    let host = Daemon::start(settings("a"), Box::new(machine), platform()).expect("started");
+    let api = host.api();
+    // The connection breaks, or the answer says that the outcome is unknown.
+    if let Ok(response) = call(api).body("x").send().await {
+        assert_eq!(response.headers()["yuccahoist-outcome"], "unknown");
+    }
+    assert!(host.until_signal().await.is_err());
+    assert!(call(api).send().await.expect_err("refused").is_connect());
+}
