--- a/yuccahoist/src/settings/listen.rs
+++ b/yuccahoist/src/settings/listen.rs
@@ -1,6 +1,7 @@
 //! Section `listen.json`.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use super::Section;
@@ -44,13 +45,26 @@
 pub(super) fn parse(section: &mut Section<'_>) -> Option<ListenSettings> {
     let address_form = "an IP address and port such as 10.0.0.1:7400";
     let api = section.required("api", address_form);
-    let peer = section.required("peer", address_form);
+    let peer =
+        section.required("peer", "an IP address that peers can reach and a port such as 10.0.0.1:7401");
     let body_limit = section.number("body_limit", BODY_LIMIT, 1..=MAX_BODY_LIMIT);
     let open_calls = section.number("open_calls", OPEN_CALLS, 1..=1_000_000);
     let stop_delay = section.millis("stop_delay_ms", 500, 0..=60_000);
-    let mut listen = ListenSettings::new(api?, peer?);
+    let mut listen = ListenSettings::new(api?, peer.map(|Reachable(peer)| peer)?);
     listen.body_limit = usize::try_from(body_limit).unwrap_or(usize::MAX);
     listen.open_calls = usize::try_from(open_calls).unwrap_or(usize::MAX);
     listen.stop_delay = stop_delay;
     Some(listen)
 }
+
+/// Address that can be announced to peers, unlike `0.0.0.0`.
+struct Reachable(SocketAddr);
+
+impl FromStr for Reachable {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let address: SocketAddr = text.parse().map_err(|_| ())?;
+        if address.ip().is_unspecified() { Err(()) } else { Ok(Self(address)) }
+    }
+}
--- a/yuccahoist/tests/settings.rs
+++ b/yuccahoist/tests/settings.rs
@@ -61,6 +61,11 @@
             text: Some(r#"{"api": "localhost:80", "peer": "127.0.0.1:1"}"#),
             error: r#"listen.json: api is "localhost:80"; allowed: an IP address and port"#,
         },
+        Case {
+            file: "listen.json",
+            text: Some(r#"{"api": "0.0.0.0:80", "peer": "0.0.0.0:81"}"#),
+            error: r#"listen.json: peer is "0.0.0.0:81"; allowed: an IP address that peers can reach"#,
+        },
         Case {
             file: "host.json",
             text: Some(r#"{"name": "a b", "zone": "z", "site": "s"}"#),
