--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Assembly of one entry host.
 //!
-//! A host has one thread with a `LocalSet`: Cap'n Proto objects cannot move between threads, and the host actor handles
+//! A host has one thread with a local runtime: Cap'n Proto objects cannot move between threads, and the host actor handles
 //! every event anyway, so that an event of a peer reaches it without waking another thread. Callers' HTTP and the
 //! platform clients run on the same thread, or on threads of their own when `io_threads` is set.
 
@@ -12,9 +12,9 @@
 use std::time::Duration;
 
 use thiserror::Error;
-use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::runtime::{Builder, Handle, LocalOptions, LocalRuntime, Runtime};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::MissedTickBehavior;
 use xtra::{Address, Mailbox};
 
@@ -140,16 +140,26 @@
         let incarnation = self.settings.host.incarnation;
         let (api, peer) = self.addresses;
         let name = format!("host-{}", self.settings.host.name);
-        let main = Builder::new_current_thread().enable_all().build().map_err(StartError::Thread)?;
-        let io = io_runtime(self.settings.host.io_threads).map_err(StartError::Thread)?;
+        let io = io_runtime(&name, self.settings.host.io_threads).map_err(StartError::Thread)?;
         let assembly = Assembly { daemon: self, host, platform, metrics };
+        let (started, start) = std::sync::mpsc::channel();
         let thread = std::thread::Builder::new()
             .name(name)
             .spawn(move || {
-                run_thread(assembly, main, io, commands);
+                // The runtime cannot move between threads, so it is made here.
+                let main = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+                let (result, main) = match main {
+                    Ok(main) => (Ok(()), Some(main)),
+                    Err(error) => (Err(error), None),
+                };
+                let _ = started.send(result);
+                if let Some(main) = main {
+                    run_thread(assembly, main, io, commands);
+                }
                 let _ = finished.send(());
             })
             .map_err(StartError::Thread)?;
+        start.recv().unwrap_or_else(|error| Err(std::io::Error::other(error))).map_err(StartError::Thread)?;
         Ok(Running { api, peer, incarnation, control, ended, thread: Some(thread) })
     }
 
@@ -170,11 +180,16 @@
     Ok(listener)
 }
 
-fn io_runtime(threads: usize) -> std::io::Result<Option<Runtime>> {
+fn io_runtime(host: &str, threads: usize) -> std::io::Result<Option<Runtime>> {
     if threads == 0 {
         return Ok(None);
     }
-    Builder::new_multi_thread().worker_threads(threads).thread_name("io").enable_all().build().map(Some)
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(format!("{host}-io"))
+        .enable_all()
+        .build()
+        .map(Some)
 }
 
 /// Command to a running host.
@@ -233,15 +248,18 @@
     ///
     /// # Errors
     ///
-    /// Fails when no signal handler can be installed.
+    /// Fails when no signal handler can be installed, or when the host ends without a signal.
     pub async fn until_signal(mut self) -> std::io::Result<()> {
         use tokio::signal::unix::{SignalKind, signal};
 
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        for text in ["stopping gracefully", "ending at once"] {
+        for (signals, text) in ["stopping gracefully", "ending at once"].into_iter().enumerate() {
             tokio::select! {
-                _ = &mut self.ended => return Ok(()),
+                _ = &mut self.ended => {
+                    let early = || std::io::Error::other("the host has ended without a signal");
+                    return if signals == 0 { Err(early()) } else { Ok(()) };
+                }
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
             }
@@ -273,19 +291,17 @@
 
 fn run_thread(
     assembly: Assembly,
-    main: Runtime,
+    main: LocalRuntime,
     io: Option<Runtime>,
     commands: mpsc::UnboundedReceiver<Command>,
 ) {
-    let handle = io.as_ref().unwrap_or(&main).handle().clone();
-    let local = LocalSet::new();
-    local.block_on(&main, async {
+    let handle = io.as_ref().map_or(main.handle(), Runtime::handle).clone();
+    main.block_on(async {
         if let Err(error) = run(assembly, handle, commands).await {
             log::error!("the host cannot run: {error}");
         }
     });
     // Dropping a runtime ends its tasks and closes their sockets.
-    drop(local);
     drop(main);
     if let Some(io) = io {
         io.shutdown_background();
@@ -314,7 +330,7 @@
         decisions: settings.logging.decisions,
     };
     let actor = HostActor::new(machine, Arc::clone(&clock), Box::new(effects), metrics);
-    spawn_local(xtra::run(mailbox, actor));
+    let mut acting = spawn_local(xtra::run(mailbox, actor));
     let links = spawn_links(opener, &host, own, &clock);
     let peer = tokio::net::TcpListener::from_std(daemon.peer)?;
     let context = ServerContext::new(host.clone(), own, Arc::clone(&clock));
@@ -340,14 +356,19 @@
         let _ = all_stopped.await;
         let _ = tokio::time::timeout(FLUSH_TIMEOUT, links).await;
     };
-    match commands.recv().await {
-        Some(Command::Stop) => tokio::select! {
-            () = stop => {}
-            _ = commands.recv() => {}
-        },
-        Some(Command::Kill) | None => {}
+    let stopping = async {
+        if let Some(Command::Stop) = commands.recv().await {
+            tokio::select! {
+                () = stop => {}
+                _ = commands.recv() => {}
+            }
+        }
+    };
+    // Without its actor the host would keep its addresses and answer nothing.
+    tokio::select! {
+        () = stopping => Ok(()),
+        _ = &mut acting => Err(std::io::Error::other("the state machine has panicked")),
     }
-    Ok(())
 }
 
 fn spawn_links(
