--- a/yuccahoist/tests/peer_wire.rs
+++ b/yuccahoist/tests/peer_wire.rs
@@ -51,6 +51,8 @@
     let id = request(Vec::new()).id;
     let mut messages = vec![
         PeerMessage::Heartbeat(Heartbeat {
+            host: "entry-1".parse().expect("host"),
+            address: "127.0.0.1:7401".parse().expect("address"),
             site: "yard".parse().expect("site"),
             revision: Revision(number),
             offset: Offset(2),
@@ -85,6 +87,8 @@
         }),
         PeerMessage::AnswerQuery { id, digest: number },
         PeerMessage::StateQuery { stream: StreamName::Cell },
+        PeerMessage::JobQuery { number, job: "plan-1".parse().expect("job") },
+        PeerMessage::JobAnswer { number, status: None },
         PeerMessage::StateReply { stream: StreamName::Config, snapshot: body.clone() },
     ];
     for outcome in outcomes(body) {
