--- a/yuccahoist/tests/ownership/rules.rs
+++ b/yuccahoist/tests/ownership/rules.rs
@@ -300,3 +300,19 @@
     renewed(&mut bench, 1_000);
     assert_eq!(bench.share(), Some(Share::Full), "newer process and run limit");
 }
+
+/// Guards against a promise that is counted from its reply: the member counts it from the request.
+#[test]
+fn promise_counts_from_before_it_was_asked() {
+    let mut bench = own_owns();
+    while !bench.out.iter().any(|action| matches!(action, OwnershipAction::Send { .. })) {
+        assert!(bench.now < 60_000_000, "no promise is asked for");
+        bench.pass(50, false);
+    }
+    let asked = bench.now;
+    bench.pass(1_500, false);
+    let message = OwnershipMessage::PromiseReply { round: 0, granted: vec![Epoch(7)] };
+    bench.event(OwnershipEvent::Peer { from: Incarnation(PEER), message });
+    let until = bench.ownership.grants().next().expect("grant").until;
+    assert_eq!(until, Timestamp::from_millis(asked) + Duration::from_millis(1_800));
+}
