Correct the test of the promise time

The test answered round 0, which the bench had used up before; it failed for that reason. It now answers the round that it saw. The check itself is unchanged.

--- a/yuccahoist/tests/ownership/rules.rs
+++ b/yuccahoist/tests/ownership/rules.rs
@@ -305,13 +305,20 @@
 #[test]
 fn promise_counts_from_before_it_was_asked() {
     let mut bench = own_owns();
-    while !bench.out.iter().any(|action| matches!(action, OwnershipAction::Send { .. })) {
-        assert!(bench.now < 60_000_000, "no promise is asked for");
+    let asked_round = |action: &OwnershipAction| match action {
+        OwnershipAction::Send { message: OwnershipMessage::PromiseRequest { round, .. }, .. } => Some(*round),
+        _ => None,
+    };
+    let round = loop {
+        if let Some(round) = bench.out.iter().find_map(asked_round) {
+            break round;
+        }
+        assert!(bench.now < 200_000, "no promise is asked for");
         bench.pass(50, false);
-    }
+    };
     let asked = bench.now;
     bench.pass(1_500, false);
-    let message = OwnershipMessage::PromiseReply { round: 0, granted: vec![Epoch(7)] };
+    let message = OwnershipMessage::PromiseReply { round, granted: vec![Epoch(7)] };
     bench.event(OwnershipEvent::Peer { from: Incarnation(PEER), message });
     let until = bench.ownership.grants().next().expect("grant").until;
     assert_eq!(until, Timestamp::from_millis(asked) + Duration::from_millis(1_800));
