--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use thiserror::Error;
 use tokio::runtime::{Builder, Handle, LocalOptions, LocalRuntime, Runtime};
 use tokio::sync::{mpsc, oneshot};
@@ -320,6 +321,8 @@
     let (host, mailbox) = Mailbox::unbounded();
     let (links, opener) = PeerLinks::new();
     let (stopped, all_stopped) = oneshot::channel();
+    let all_stopped = all_stopped.shared();
+    let ended = all_stopped.clone();
     let effects = DaemonEffects {
         io: io.clone(),
         host: host.clone(),
@@ -364,9 +367,15 @@
             }
         }
     };
+    // A host that was replaced or removed from the view stops without a command.
+    let unasked = async {
+        let _ = ended.await;
+        tokio::time::sleep(FLUSH_TIMEOUT).await;
+    };
     // Without its actor the host would keep its addresses and answer nothing.
     tokio::select! {
         () = stopping => Ok(()),
+        () = unasked => Ok(()),
         _ = &mut acting => Err(std::io::Error::other("the state machine has panicked")),
     }
 }
--- a/yuccahoist/src/host/control.rs
+++ b/yuccahoist/src/host/control.rs
@@ -214,6 +214,14 @@
         self.steps.push_back(Step::Membership(MembershipEvent::Hosts(hosts)));
     }
 
+    /// Stops this process if another incarnation of its host has replaced it, or if it was removed from the view.
+    pub(super) fn check_replaced(&mut self, turn: &mut Turn<'_>) {
+        if self.ownership.left() && self.stop.is_none() {
+            self.control("this process is no longer in the view and stops".into(), turn);
+            self.begin_stop(turn.now);
+        }
+    }
+
     pub(super) fn begin_stop(&mut self, now: Timestamp) {
         if self.stop.is_some() {
             return;
--- a/yuccahoist/src/host/mod.rs
+++ b/yuccahoist/src/host/mod.rs
@@ -212,6 +212,7 @@
         self.expire_job_calls(turn);
         self.share_load(turn);
         self.greet_seeds(turn);
+        self.check_replaced(turn);
         self.finish_stop(turn);
     }
 
--- a/yuccahoist_cli/src/cli.rs
+++ b/yuccahoist_cli/src/cli.rs
@@ -6,8 +6,9 @@
 
 use argh::{EarlyExit, FromArgs};
 use yuccahoist::config::DocumentName;
-use yuccahoist::id::Revision;
+use yuccahoist::id::{JobId, Revision};
 
+use crate::demo::DemoArgs;
 use crate::error::USAGE_OR_IO;
 
 /// operates a yuccahoist cell
@@ -32,6 +33,50 @@
     Show(ShowArgs),
     /// Lists edits.
     History(HistoryArgs),
+    /// Submits a job.
+    Submit(SubmitArgs),
+    /// Shows the state of a job.
+    Status(StatusArgs),
+    /// Cancels a job.
+    Cancel(CancelArgs),
+    /// Runs the demonstration.
+    Demo(DemoArgs),
+}
+
+/// submits a job that a JSON file describes
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct SubmitArgs {
+    /// address of an entry host, ip:port
+    #[argh(option)]
+    pub host: SocketAddr,
+    /// file with the description, as POST /v1/jobs takes it
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// shows the state of a job and why it waits
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// address of an entry host, ip:port
+    #[argh(option)]
+    pub host: SocketAddr,
+    /// job
+    #[argh(positional)]
+    pub job: JobId,
+}
+
+/// cancels a job
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub struct CancelArgs {
+    /// address of an entry host, ip:port
+    #[argh(option)]
+    pub host: SocketAddr,
+    /// job
+    #[argh(positional)]
+    pub job: JobId,
 }
 
 /// checks a base file and overlays without publishing them
--- a/yuccahoist_cli/src/error.rs
+++ b/yuccahoist_cli/src/error.rs
@@ -7,6 +7,8 @@
 use yuccahoist::config::ConfigError;
 use yuccahoist::id::{Offset, Revision};
 
+use crate::demo::DemoError;
+
 /// Exit code when documents or an edit are refused, or conflict.
 pub const REFUSED: u8 = 1;
 /// Exit code of usage errors and failed calls.
@@ -47,6 +49,9 @@
         /// Reason.
         reason: String,
     },
+    /// Demonstration cannot run.
+    #[error("{0}")]
+    Demo(#[from] DemoError),
     /// Edit is in the log and no verdict has appeared.
     #[error(
         "edit is in the log at offset {edit}, but has no verdict yet; \"history\" shows it once it is decided"
@@ -63,9 +68,11 @@
     pub fn exit_code(&self) -> ExitCode {
         match self {
             Self::Invalid(_) | Self::Conflict { .. } => ExitCode::from(REFUSED),
-            Self::Usage(_) | Self::File { .. } | Self::Call { .. } | Self::Undecided { .. } => {
-                ExitCode::from(USAGE_OR_IO)
-            }
+            Self::Usage(_)
+            | Self::File { .. }
+            | Self::Call { .. }
+            | Self::Demo(_)
+            | Self::Undecided { .. } => ExitCode::from(USAGE_OR_IO),
         }
     }
 }
--- a/yuccahoist_cli/src/main.rs
+++ b/yuccahoist_cli/src/main.rs
@@ -1,32 +1,31 @@
 //! Command line of yuccahoist.
 
+mod cli;
+mod command;
+mod config_log;
 mod demo;
+mod documents;
+mod error;
 
 use std::process::ExitCode;
 
-use argh::FromArgs;
-
-/// operates a yuccahoist cell
-#[derive(FromArgs)]
-struct Cli {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
-    Demo(demo::DemoArgs),
-}
-
-#[tokio::main]
-async fn main() -> ExitCode {
-    let Cli { command: Command::Demo(args) } = argh::from_env();
-    match demo::run(args).await {
+fn main() -> ExitCode {
+    let cli = match cli::parse(std::env::args()) {
+        Ok(cli) => cli,
+        Err(code) => return code,
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("start runtime: {error}");
+            return ExitCode::from(error::USAGE_OR_IO);
+        }
+    };
+    match runtime.block_on(command::run(cli.command)) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("{error}");
-            ExitCode::from(2)
+            error.exit_code()
         }
     }
 }
--- a/yuccahoist_standins/src/main.rs
+++ b/yuccahoist_standins/src/main.rs
@@ -8,6 +8,7 @@
 use yuccahoist::id::WorkerId;
 use yuccahoist_standins::backend::Backends;
 use yuccahoist_standins::hosts::Hosts;
+use yuccahoist_standins::log::{LogServer, MemoryLog};
 use yuccahoist_standins::serve;
 use yuccahoist_standins::worker::Workers;
 
@@ -23,6 +24,16 @@
 enum Command {
     Workers(WorkersCommand),
     Hosts(HostsCommand),
+    Log(LogCommand),
+}
+
+/// Log service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+struct LogCommand {
+    /// listening address
+    #[argh(option)]
+    listen: SocketAddr,
 }
 
 /// Workers with their backend servers, at one port each.
@@ -53,6 +64,10 @@
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
     match argh::from_env::<Arguments>().command {
         Command::Workers(command) => workers(command).await,
+        Command::Log(command) => {
+            let _server = LogServer::bind(command.listen, MemoryLog::new()).await?;
+            std::future::pending().await
+        }
         Command::Hosts(command) => {
             let listener = TcpListener::bind(command.listen).await?;
             serve::hosts(listener, Hosts::new(Duration::from_millis(command.lag_ms))).await;
