--- a/yuccahoist/src/dispatch/baseline.rs
+++ b/yuccahoist/src/dispatch/baseline.rs
@@ -11,7 +11,7 @@
 /// Time to work off `ahead` requests of the mean run time on all slots.
 fn drain_time(ahead: usize, view: &SlotView) -> Duration {
     let held: u32 = view.held_total();
-    let total: Duration = view.held.iter().map(|(class, n)| view.run_of(*class) * *n).sum();
+    let total: Duration = Class::ALL.into_iter().map(|class| view.run_of(class) * view.held_by(class)).sum();
     let mean = total.checked_div(held).unwrap_or_default();
     mean.mul_f64(ahead as f64 / f64::from(view.capacity.max(1)))
 }
--- a/yuccahoist/src/dispatch/mod.rs
+++ b/yuccahoist/src/dispatch/mod.rs
@@ -192,8 +192,8 @@
         let held = |class: Class| usable.iter().map(|worker| worker.held[class as usize]).sum();
         SlotView {
             capacity: usable.iter().map(|worker| worker.capacity(share)).sum(),
-            held: Class::ALL.into_iter().map(|class| (class, held(class))).collect(),
-            run: self.run.iter().filter_map(|(class, run)| Some((*class, run.as_duration()?))).collect(),
+            held: Class::ALL.map(held),
+            run: Class::ALL.map(|class| self.run.get(&class).and_then(Ewma::as_duration)),
         }
     }
 
@@ -428,7 +428,8 @@
         let usable = self.usable(shard, now);
         let view = self.view(&usable, grant.share);
         let open = usable.iter().filter(|worker| worker.free(grant.share) > 0);
-        let services: BTreeSet<ServiceId> = open.flat_map(|worker| worker.spec.services.clone()).collect();
+        let mut services: Vec<ServiceId> = open.flat_map(|worker| &worker.spec.services).cloned().collect();
+        services.dedup();
         if services.is_empty() {
             return None;
         }
--- a/yuccahoist/src/dispatch/policy.rs
+++ b/yuccahoist/src/dispatch/policy.rs
@@ -1,6 +1,5 @@
 //! Interface of queue policies.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -25,31 +24,37 @@
 }
 
 /// Slots of a shard and who holds them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SlotView {
     /// Slots that may be used, over all workers of the shard.
     pub capacity: u32,
-    /// Slots that are held, per class.
-    pub held: BTreeMap<Class, u32>,
-    /// Measured mean run time per class; none before the first measurement.
-    pub run: BTreeMap<Class, Duration>,
+    /// Slots that are held, per class in the order of [`Class::ALL`].
+    pub held: [u32; Class::ALL.len()],
+    /// Measured mean run time per class in the order of [`Class::ALL`]; none before the first measurement.
+    pub run: [Option<Duration>; Class::ALL.len()],
 }
 
 impl SlotView {
     /// Measured mean run time of a class; a value that keeps the classes in order before the first measurement.
     #[must_use]
     pub fn run_of(&self, class: Class) -> Duration {
-        self.run.get(&class).copied().unwrap_or(match class {
+        self.run[class as usize].unwrap_or(match class {
             Class::Urgent => Duration::from_millis(10),
             Class::Batch => Duration::from_millis(100),
             Class::Heavy => Duration::from_secs(1),
         })
     }
 
+    /// Slots held by a class.
+    #[must_use]
+    pub fn held_by(&self, class: Class) -> u32 {
+        self.held[class as usize]
+    }
+
     /// Slots held by all classes.
     #[must_use]
     pub fn held_total(&self) -> u32 {
-        self.held.values().sum()
+        self.held.iter().sum()
     }
 }
 
--- a/yuccahoist/src/dispatch/shares.rs
+++ b/yuccahoist/src/dispatch/shares.rs
@@ -148,7 +148,7 @@
         let room = bounds.map(|rank| {
             let longer = || Class::ALL.into_iter().filter(|other| run_rank(*other, view) >= rank);
             let allowed: u32 = longer().map(|other| self.guaranteed(other, view.capacity)).sum();
-            let held: u32 = longer().map(|other| view.held.get(&other).copied().unwrap_or(0)).sum();
+            let held: u32 = longer().map(|other| view.held_by(other)).sum();
             (allowed + self.spare(view.capacity)).min(view.capacity).saturating_sub(held)
         });
         room.min().unwrap_or(0)
@@ -158,7 +158,7 @@
     fn order(&self, view: &SlotView) -> [Class; 3] {
         let mut classes = Class::ALL;
         classes.sort_by_key(|class| {
-            let held = view.held.get(class).copied().unwrap_or(0);
+            let held = view.held_by(*class);
             (held >= self.guaranteed(*class, view.capacity), *class)
         });
         classes
@@ -257,7 +257,7 @@
             (Some(queue), Some(team)) => queue.ahead(team, &self.weights),
             _ => len as f64,
         };
-        let held = view.held.get(&class).copied().unwrap_or(0);
+        let held = view.held_by(class);
         let slots = self.guaranteed(class, view.capacity).max(held).max(1);
         view.run_of(class).mul_f64((ahead + 1.0) / f64::from(slots))
     }
