--- a/yuccahoist_bench/src/requests/report.rs
+++ b/yuccahoist_bench/src/requests/report.rs
@@ -60,8 +60,7 @@
                 [1] => format!("{class} of the other team"),
                 _ => class.to_string(),
             };
-            let before = normal
-                .map(|normal| count(&normal.tally, class, team).answered as f64 / seconds(normal.scenario));
+            let before = normal.map(|normal| count(&normal.tally, class, team).goodput());
             lines.push(row(outcome, (class, name), &count(&outcome.tally, class, team), before));
         }
     }
