--- a/yuccahoist_bench/src/bin/experiment/requests.rs
+++ b/yuccahoist_bench/src/bin/experiment/requests.rs
@@ -1,7 +1,7 @@
 //! Subcommand `requests`.
 
 use argh::FromArgs;
-use yuccahoist_bench::requests::{Scenario, print, rows, run_all};
+use yuccahoist_bench::requests::{Scenario, System, print, rows, run_all};
 
 /// Queue and route policies under mixes and floods of requests.
 #[derive(Debug, FromArgs)]
@@ -13,9 +13,17 @@
     /// print JSON in place of a table
     #[argh(switch)]
     json: bool,
-    /// run one scenario only: normal, flood-heavy, flood-batch, flood-urgent, flood-team or misjudged
+    /// run one scenario only: normal, busy, flood-heavy, flood-batch, flood-urgent, flood-team or misjudged
     #[argh(option, from_str_fn(scenario))]
     scenario: Option<Scenario>,
+    /// run one system only: ours, fifo, strict-priority, random-backend or host-quota
+    #[argh(option, from_str_fn(system))]
+    system: Option<System>,
+}
+
+fn system(name: &str) -> Result<System, String> {
+    let found = System::ALL.into_iter().find(|system| system.as_str() == name);
+    found.ok_or_else(|| format!("system {name:?} does not exist"))
 }
 
 fn scenario(name: &str) -> Result<Scenario, String> {
@@ -25,7 +33,7 @@
 
 /// Runs the experiment and prints its figures.
 pub fn run(options: &Options) {
-    let rows = rows(&run_all(options.seed, options.scenario));
+    let rows = rows(&run_all(options.seed, options.scenario, options.system));
     if options.json {
         println!("{}", serde_json::to_string_pretty(&rows).expect("plain data"));
     } else {
--- a/yuccahoist_bench/src/requests/mod.rs
+++ b/yuccahoist_bench/src/requests/mod.rs
@@ -29,20 +29,21 @@
     pub tally: Tally,
 }
 
-/// Runs all systems in all scenarios of both deployments, in a fixed order of results.
+/// Runs all systems, or one, in all scenarios, or one besides the normal load, of both deployments.
 ///
 /// # Panics
 ///
 /// Panics when a run panics.
 #[must_use]
-pub fn run_all(seed: u64, only: Option<Scenario>) -> Vec<Outcome> {
+pub fn run_all(seed: u64, only: Option<Scenario>, system: Option<System>) -> Vec<Outcome> {
     let mut plan = Vec::new();
     for deployment in [Deployment::ishikari(), Deployment::cawan()] {
         for scenario in Scenario::ALL
             .into_iter()
             .filter(|scenario| only.is_none_or(|only| only == *scenario || *scenario == Scenario::Normal))
         {
-            plan.extend(System::ALL.into_iter().map(|system| (deployment.clone(), scenario, system)));
+            let systems = System::ALL.into_iter().filter(|each| system.is_none_or(|system| system == *each));
+            plan.extend(systems.map(|system| (deployment.clone(), scenario, system)));
         }
     }
     let next = AtomicUsize::new(0);
--- a/yuccahoist_bench/src/requests/model.rs
+++ b/yuccahoist_bench/src/requests/model.rs
@@ -118,6 +118,8 @@
 struct Entry {
     class: Class,
     team: usize,
+    /// Service time, seconds.
+    run: f64,
     arrived: Timestamp,
     counted: bool,
 }
@@ -133,7 +135,10 @@
 
 struct Model {
     now: Timestamp,
+    /// Randomness of decisions.
     rng: ChaCha8Rng,
+    /// Randomness of arrivals and service times, which are the same for every system.
+    traffic: ChaCha8Rng,
     scenario: Scenario,
     flood: Timestamp,
     counted: Range<Timestamp>,
@@ -207,6 +212,7 @@
         let mut model = Self {
             now: Timestamp::ZERO,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            traffic: ChaCha8Rng::seed_from_u64(!seed),
             scenario,
             flood: at(times.flood),
             counted: at(times.count)..at(times.end),
@@ -322,11 +328,11 @@
 
     fn plan_arrival(&mut self, index: usize) {
         let (normal, flood) = self.streams[index].gaps;
-        let mut gap = if self.now < self.flood { normal } else { flood }.sample(&mut self.rng);
+        let mut gap = if self.now < self.flood { normal } else { flood }.sample(&mut self.traffic);
         if self.now < self.flood && self.now + Duration::from_secs_f64(gap) > self.flood {
             // Arrivals have no memory, so the gap may be drawn again from the start of the flood.
             let rest = self.flood.since(self.now).as_secs_f64();
-            gap = rest + flood.sample(&mut self.rng);
+            gap = rest + flood.sample(&mut self.traffic);
         }
         self.plan(Duration::from_secs_f64(gap), Item::Arrive(index));
     }
@@ -373,7 +379,12 @@
         let number = self.next_call;
         self.next_call += 1;
         let counted = self.counted.contains(&self.now);
-        let entry = Entry { class, team, arrived: self.now, counted };
+        let mut run = stream.run.sample(&mut self.traffic);
+        if self.scenario == Scenario::Misjudged {
+            let mean = (10.0 - 0.1) / (2.0 * f64::ln(10.0));
+            run *= 10_f64.powf(self.traffic.random_range(-1.0..1.0)) / mean;
+        }
+        let entry = Entry { class, team, run, arrived: self.now, counted };
         if counted {
             self.tally.entry((class, team)).or_default().sent += 1;
         }
@@ -390,7 +401,7 @@
             deadline: self.now + deadline,
             body: Default::default(),
         };
-        let host = self.rng.random_range(0..HOSTS);
+        let host = self.traffic.random_range(0..HOSTS);
         let event = FrontEvent::Call { call: CallId(number), wall, request };
         self.inbox.push_back(Message::Front(host, event));
     }
@@ -447,24 +458,18 @@
     fn send(&mut self, host: usize, forward: ForwardId, request: &Request) {
         let bytes = request.id.as_uuid().into_bytes();
         let number = bytes[10..].iter().fold(0_u64, |number, byte| number << 8 | u64::from(*byte));
-        let stream = self.streams.iter().find(|stream| stream.class == request.class).expect("class");
-        let mut run = stream.run.sample(&mut self.rng);
-        if self.scenario == Scenario::Misjudged {
-            let mean = (10.0 - 0.1) / (2.0 * f64::ln(10.0));
-            run *= 10_f64.powf(self.rng.random_range(-1.0..1.0)) / mean;
-        }
-        if let Some(entry) = self.calls.get(&number) {
-            let (start, end) = (
-                self.now.max(self.counted.start),
-                (self.now + Duration::from_secs_f64(run)).min(self.counted.end),
-            );
-            let count = self.tally.entry((entry.class, entry.team)).or_default();
-            if self.now >= self.counted.start {
-                let wait = u64::try_from(self.now.since(entry.arrived).as_micros()).unwrap_or(u64::MAX);
-                count.wait.record(wait).expect("histogram resizes");
-            }
-            count.busy += end.since(start).as_secs_f64();
+        let Some(entry) = self.calls.get(&number) else { return };
+        let run = entry.run;
+        let (start, end) = (
+            self.now.max(self.counted.start),
+            (self.now + Duration::from_secs_f64(run)).min(self.counted.end),
+        );
+        let count = self.tally.entry((entry.class, entry.team)).or_default();
+        if self.now >= self.counted.start {
+            let wait = u64::try_from(self.now.since(entry.arrived).as_micros()).unwrap_or(u64::MAX);
+            count.wait.record(wait).expect("histogram resizes");
         }
+        count.busy += end.since(start).as_secs_f64();
         self.plan(Duration::from_secs_f64(run), Item::End { host, forward });
     }
 
