Expect the next free slot for a class below its guaranteed share

Cause: the expected wait counted only the class's own slots. With all slots lent out it was the same for a shard whose class is below its share and for one whose class is at its share, so the front chose blindly between them.

Urgent is unchanged.

--- a/yuccahoist/src/dispatch/policy.rs
+++ b/yuccahoist/src/dispatch/policy.rs
@@ -51,6 +51,14 @@
         self.held[class as usize]
     }
 
+    /// Mean time until one of the held slots is given back.
+    #[must_use]
+    pub fn next_slot(&self) -> Duration {
+        let rate = |class| f64::from(self.held_by(class)) / self.run_of(class).as_secs_f64().max(1e-6);
+        let total: f64 = Class::ALL.into_iter().map(rate).sum();
+        if total > 0.0 { Duration::from_secs_f64(1.0 / total) } else { Duration::ZERO }
+    }
+
     /// Slots held by all classes.
     #[must_use]
     pub fn held_total(&self) -> u32 {
--- a/yuccahoist/src/dispatch/shares.rs
+++ b/yuccahoist/src/dispatch/shares.rs
@@ -257,9 +257,13 @@
             (Some(queue), Some(team)) => queue.ahead(team, &self.weights),
             _ => len as f64,
         };
+        let guaranteed = self.guaranteed(class, view.capacity);
         let held = view.held_by(class);
-        let slots = self.guaranteed(class, view.capacity).max(held).max(1);
-        view.run_of(class).mul_f64((ahead + 1.0) / f64::from(slots))
+        let waiting = ahead + 1.0;
+        // Below its guarantee, the class gets the next slot that any class gives back.
+        let owed = waiting.min(f64::from(guaranteed.saturating_sub(held)));
+        let own_slots = f64::from(guaranteed.max(held).max(1));
+        view.next_slot().mul_f64(owed) + view.run_of(class).mul_f64((waiting - owed) / own_slots)
     }
 
     fn len(&self) -> usize {
