--- a/yuccahoist/tests/fleet/mod.rs
+++ b/yuccahoist/tests/fleet/mod.rs
@@ -361,14 +361,14 @@
                 // A command may leave as late as `until`.
                 let message = Message::Command { host, incarnation, worker, ticket, command, answer: true };
                 let hold = until.since(self.now);
-                self.post(message, hold);
+                self.post(&message, hold);
             }
             PlacementAction::Command { worker, ticket, .. } => {
                 let message = Message::Done { host, incarnation, worker, ticket, inventory: None };
                 self.deliver_at(self.now + STEP, message);
             }
             PlacementAction::Reply { to, reply } => {
-                self.post(Message::Reply { from: incarnation, to, reply }, Duration::ZERO);
+                self.post(&Message::Reply { from: incarnation, to, reply }, Duration::ZERO);
             }
             PlacementAction::Decision(_) => {}
         }
@@ -385,7 +385,7 @@
             }
             CoordinatorAction::Send { to, request, until } if self.now < until => {
                 let hold = until.since(self.now).min(Duration::from_millis(100));
-                self.post(Message::Request { from, to, request }, hold);
+                self.post(&Message::Request { from, to, request }, hold);
             }
             CoordinatorAction::Send { .. } | CoordinatorAction::Decision { .. } => {}
         }
@@ -402,7 +402,7 @@
         self.now < seconds(self.faults.quiet) && self.rng.random_range(0..1_000) < part
     }
 
-    fn post(&mut self, message: Message, hold: Duration) {
+    fn post(&mut self, message: &Message, hold: Duration) {
         let copies = if self.chance(self.faults.double) { 2 } else { 1 };
         for _ in 0..copies {
             let mut delay = Duration::from_millis(self.rng.random_range(1..4));
@@ -411,7 +411,7 @@
                 delay = Duration::from_millis(self.rng.random_range(1..most));
             }
             let lost = self.chance(self.faults.lose);
-            match &message {
+            match message {
                 Message::Command { host, incarnation, worker, ticket, .. } if lost => {
                     let (worker, ticket) = (worker.clone(), *ticket);
                     let failed = Message::Done {
