Judge failures by running totals and drop failures of bad jobs at once

Change: totals are kept; a job that fails on three workers is taken out of the counts of its workers.

--- a/yuccahoist/src/health/mod.rs
+++ b/yuccahoist/src/health/mod.rs
@@ -26,7 +26,10 @@
 
 #[derive(Debug, Default)]
 struct Score {
+    /// Failures of jobs that do not fail on several workers.
     failures: BTreeMap<JobId, u32>,
+    /// Sum of the failures.
+    failed: u32,
     successes: u32,
     isolated: Option<Timestamp>,
 }
@@ -37,6 +40,8 @@
     scores: BTreeMap<WorkerId, Score>,
     failed_on: BTreeMap<JobId, BTreeSet<WorkerId>>,
     halved: Timestamp,
+    /// Failures and successes of all workers, so that a failure costs no scan of the fleet.
+    total: (u32, u32),
 }
 
 impl WorkerHealth {
@@ -47,13 +52,16 @@
 
     /// Removes a worker.
     pub fn remove(&mut self, worker: &WorkerId) {
-        self.scores.remove(worker);
+        if let Some(score) = self.scores.remove(worker) {
+            self.total = (self.total.0 - score.failed, self.total.1 - score.successes);
+        }
     }
 
     /// Counts a task that ended successfully.
     pub fn succeeded(&mut self, worker: &WorkerId, job: &JobId) {
         if let Some(score) = self.scores.get_mut(worker) {
             score.successes += 1;
+            self.total.1 += 1;
         }
         self.failed_on.remove(job);
     }
@@ -61,12 +69,30 @@
     /// Counts a task that failed; true when the worker is isolated because of it.
     pub fn failed(&mut self, now: Timestamp, worker: &WorkerId, job: &JobId) -> bool {
         self.halve(now);
-        self.failed_on.entry(job.clone()).or_default().insert(worker.clone());
+        let workers = self.failed_on.entry(job.clone()).or_default();
+        workers.insert(worker.clone());
+        if workers.len() >= BAD_JOB_WORKERS {
+            let workers = workers.clone();
+            self.acquit(job, &workers);
+            return false;
+        }
         let Some(score) = self.scores.get_mut(worker) else { return false };
         *score.failures.entry(job.clone()).or_default() += 1;
+        score.failed += 1;
+        self.total.0 += 1;
         self.judge(now, worker)
     }
 
+    /// Takes back the failures of a bad job.
+    fn acquit(&mut self, job: &JobId, workers: &BTreeSet<WorkerId>) {
+        for worker in workers {
+            let Some(score) = self.scores.get_mut(worker) else { continue };
+            let count = score.failures.remove(job).unwrap_or_default();
+            score.failed -= count;
+            self.total.0 -= count;
+        }
+    }
+
     /// Whether a worker is isolated.
     #[must_use]
     pub fn is_isolated(&self, now: Timestamp, worker: &WorkerId) -> bool {
@@ -80,29 +106,22 @@
     }
 
     fn judge(&mut self, now: Timestamp, worker: &WorkerId) -> bool {
-        let (failures, jobs, successes) = self.counts(worker);
-        if failures < FAILURE_LIMIT || jobs < JOB_LIMIT || failures <= successes {
+        let Some(score) = self.scores.get(worker) else { return false };
+        let (failures, successes) = (score.failed, score.successes);
+        if failures < FAILURE_LIMIT || score.failures.len() < JOB_LIMIT || failures <= successes {
             return false;
         }
-        if self.is_isolated(now, worker) || !self.allows_another(now) {
-            return false;
-        }
-        let (mut other_failures, mut other_runs) = (0, 0);
-        for other in self.scores.keys().filter(|other| *other != worker) {
-            let (failures, _, successes) = self.counts(other);
-            other_failures += failures;
-            other_runs += failures + successes;
-        }
+        let other_failures = self.total.0 - failures;
+        let other_runs = other_failures + (self.total.1 - successes);
         // Compares rates by cross multiplication: worker's rate > factor times the rate of the others.
         let own = u64::from(failures) * u64::from(other_runs.max(1));
         let others = u64::from(RATE_FACTOR) * u64::from(other_failures) * u64::from(failures + successes);
-        if own <= others {
+        if own <= others || self.is_isolated(now, worker) || !self.allows_another(now) {
             return false;
         }
+        self.total = (self.total.0 - failures, self.total.1 - successes);
         if let Some(score) = self.scores.get_mut(worker) {
-            score.isolated = Some(now + ISOLATION);
-            score.failures.clear();
-            score.successes = 0;
+            *score = Score { isolated: Some(now + ISOLATION), ..Score::default() };
         }
         true
     }
@@ -112,23 +131,20 @@
         (isolated + 1) * ISOLATED_PART <= self.scores.len()
     }
 
-    fn counts(&self, worker: &WorkerId) -> (u32, usize, u32) {
-        let Some(score) = self.scores.get(worker) else { return (0, 0, 0) };
-        let good = || score.failures.iter().filter(|(job, _)| !self.is_bad_job(job));
-        (good().map(|(_, count)| count).sum(), good().count(), score.successes)
-    }
-
     fn halve(&mut self, now: Timestamp) {
         if now.since(self.halved) < HALVING {
             return;
         }
         self.halved = now;
+        self.total = (0, 0);
         for score in self.scores.values_mut() {
             score.successes /= 2;
             score.failures.retain(|_, count| {
                 *count /= 2;
                 *count > 0
             });
+            score.failed = score.failures.values().sum();
+            self.total = (self.total.0 + score.failed, self.total.1 + score.successes);
         }
         let scores = &self.scores;
         self.failed_on.retain(|job, _| scores.values().any(|score| score.failures.contains_key(job)));
