--- a/yuccahoist/src/placement/policy.rs
+++ b/yuccahoist/src/placement/policy.rs
@@ -93,7 +93,7 @@
         let mut zones: Vec<_> =
             index.zones().iter().map(|(zone, racks)| (siblings.zones.get(zone), racks)).collect();
         zones.sort_by_key(|(count, _)| count.copied().unwrap_or_default());
-        let mut best: Option<((u32, u32, u32), Slot)> = None;
+        let mut best: Option<((u32, u32, u32, u64), Slot)> = None;
         let mut runner_up = None;
         for (zone, racks) in zones {
             let zone = zone.copied().unwrap_or_default();
@@ -102,7 +102,7 @@
             }
             for (_, rack) in racks {
                 let rack_count = siblings.racks.get(rack).copied().unwrap_or_default();
-                if best.is_some_and(|(key, _)| key <= (zone, rack_count, 0)) {
+                if best.is_some_and(|(key, _)| key < (zone, rack_count, 0, 0)) {
                     continue;
                 }
                 for (slot, entry) in index.rack(rack, order.resources) {
@@ -112,13 +112,13 @@
                     let on_worker = siblings.workers.get(&entry.spec.worker).copied().unwrap_or_default();
                     // An accelerator worker counts as worse than any other of the rack for work that needs none.
                     let wasted = u32::from(wastes(order.resources, entry)) << 16;
-                    let key = (zone, rack_count, on_worker + wasted);
+                    let key = (zone, rack_count, on_worker + wasted, leftover(order.resources, entry));
                     if best.is_none_or(|(other, _)| key < other) {
                         runner_up = best.map(|(_, slot)| slot);
                         best = Some((key, slot));
                     }
                 }
-                if best.is_some_and(|(key, _)| key == (zone, 0, 0)) {
+                if best.is_some_and(|(key, _)| (key.0, key.1, key.2) == (zone, 0, 0)) {
                     break;
                 }
             }
@@ -132,15 +132,15 @@
     need.accelerators.0 == 0 && entry.spec.capacity.accelerators.0 > 0
 }
 
-/// Sum over the resources of what stays free, thousandths of the capacity; lower is the better fit.
-///
-/// The resource of which most stays free counts twice, so that neither processors nor memory are stranded.
+/// What stays free of the task's dominant resource, thousandths of the capacity; lower is the better fit.
 fn leftover(need: Resources, entry: &Entry) -> u64 {
-    let part = |free: u64, need: u64, capacity: u64| (free - need) * 1_000 / capacity.max(1);
     let (free, capacity) = (entry.free, entry.spec.capacity);
-    let cpu = part(free.cpu.0, need.cpu.0, capacity.cpu.0);
-    let memory = part(free.memory.0, need.memory.0, capacity.memory.0);
-    cpu + memory + cpu.abs_diff(memory)
+    let part = |size: u64, capacity: u64| size * 1_000 / capacity.max(1);
+    if part(need.cpu.0, capacity.cpu.0) >= part(need.memory.0, capacity.memory.0) {
+        part(free.cpu.0 - need.cpu.0, capacity.cpu.0)
+    } else {
+        part(free.memory.0 - need.memory.0, capacity.memory.0)
+    }
 }
 
 fn best_fit<'a>(order: &TaskOrder, entries: impl Iterator<Item = (Slot, &'a Entry)>) -> Choice {
