--- a/yuccahoist_cli/src/demo/mod.rs
+++ b/yuccahoist_cli/src/demo/mod.rs
@@ -75,7 +75,7 @@
     check(&args)?;
     let progress = Progress::new(args.json);
     progress.say("starting hosts and stand-ins");
-    let options = ClusterOptions { hosts: args.hosts, ..ClusterOptions::default() };
+    let options = ClusterOptions::builder().hosts(args.hosts).build();
     let mut cluster = Cluster::start(options).await?;
     cluster.wait_all("configuration in force", START_LIMIT, |status| status.ready).await?;
     let owned = cluster.wait_owned(START_LIMIT).await?;
--- a/yuccahoist_standins/src/cluster.rs
+++ b/yuccahoist_standins/src/cluster.rs
@@ -90,7 +90,69 @@
     }
 }
 
+/// Builder of [`ClusterOptions`].
+#[derive(Debug, Clone, Default)]
+pub struct ClusterBuilder {
+    options: ClusterOptions,
+}
+
+impl ClusterBuilder {
+    /// Sets the sites.
+    #[must_use]
+    pub fn sites(mut self, sites: &[&str]) -> Self {
+        self.options.sites = sites.iter().copied().map(String::from).collect();
+        self
+    }
+
+    /// Sets the number of entry hosts.
+    #[must_use]
+    pub fn hosts(mut self, hosts: usize) -> Self {
+        self.options.hosts = hosts;
+        self
+    }
+
+    /// Sets the number of racks.
+    #[must_use]
+    pub fn racks(mut self, racks: usize) -> Self {
+        self.options.racks = racks;
+        self
+    }
+
+    /// Sets the number of workers per rack.
+    #[must_use]
+    pub fn workers(mut self, workers: usize) -> Self {
+        self.options.workers = workers;
+        self
+    }
+
+    /// Sets the service that callers use.
+    #[must_use]
+    pub fn service(mut self, service: &str) -> Self {
+        self.options.service = service.into();
+        self
+    }
+
+    /// Sets the teams.
+    #[must_use]
+    pub fn teams(mut self, teams: &[&str]) -> Self {
+        self.options.teams = teams.iter().copied().map(String::from).collect();
+        self
+    }
+
+    /// Options as set; the rest has its default.
+    #[must_use]
+    pub fn build(self) -> ClusterOptions {
+        self.options
+    }
+}
+
 impl ClusterOptions {
+    /// Builder with the default size.
+    #[must_use]
+    pub fn builder() -> ClusterBuilder {
+        ClusterBuilder::default()
+    }
+
     /// Base document of the cell.
     #[must_use]
     pub fn base(&self) -> Value {
--- a/yuccahoist_standins/tests/path.rs
+++ b/yuccahoist_standins/tests/path.rs
@@ -19,7 +19,7 @@
 /// Guards against a part of the path that works alone but not together with the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_job_and_edit_take_effect() {
-    let options = ClusterOptions { hosts: 3, racks: 3, workers: 2, ..ClusterOptions::default() };
+    let options = ClusterOptions::builder().hosts(3).racks(3).workers(2).build();
     let mut cluster = Cluster::start(options).await.expect("cluster starts");
     cluster.wait_all("revision 1", START_LIMIT, |s| s.ready && s.hosts.len() == 3).await.expect("ready");
     cluster.wait_owned(START_LIMIT).await.expect("owned");
