Add a harness of several hosts with checks of the invariants

Single duties were tested against their own fakes, but no test drove whole host state machines against each other.

--- /dev/null
+++ b/yuccahoist/tests/host_faults/worker.rs
@@ -0,0 +1,252 @@
+//! Worker with its backend server; both keep their own record.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{Rng, RngExt};
+use yuccahoist::id::{Attempt, Epoch, RequestId, ShardId, TaskId};
+use yuccahoist::job::JobKind;
+use yuccahoist::placement::{Inventory, InventoryTask, TaskStart, WorkerCommand, WorkerTaskState};
+use yuccahoist::unit::{CpuMillis, MemoryMib, Resources, Timestamp};
+
+/// Time after which a task's use of resources shows up in the inventory.
+const USAGE_LAG: Duration = Duration::from_secs(3);
+
+/// Run of a request at the backend server.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: RequestId,
+    pub body: Bytes,
+    pub idempotent: bool,
+    pub start: Timestamp,
+    pub end: Timestamp,
+    pub epoch: Epoch,
+}
+
+/// Run of a task.
+#[derive(Debug, Clone)]
+pub struct TaskRun {
+    pub task: TaskId,
+    pub attempt: Attempt,
+    pub start: Timestamp,
+    pub end: Option<Timestamp>,
+}
+
+#[derive(Debug)]
+struct Task {
+    start: TaskStart,
+    state: WorkerTaskState,
+    began: Timestamp,
+    lease_end: Timestamp,
+    end: Option<(Timestamp, WorkerTaskState)>,
+    cpu: CpuMillis,
+    usage: Resources,
+}
+
+/// Worker.
+#[derive(Debug)]
+pub struct Worker {
+    pub shard: ShardId,
+    pub capacity: Resources,
+    pub slots: usize,
+    pub dead: bool,
+    /// Whether all tasks fail at once.
+    pub sick: bool,
+    /// Time since which it is leaving.
+    pub leaving: Option<Timestamp>,
+    pub runs: Vec<Run>,
+    pub task_runs: Vec<TaskRun>,
+    /// Most requests at a time.
+    pub high: usize,
+    /// Largest part of a resource that was ever given, thousandths.
+    pub high_part: u64,
+    active: Vec<usize>,
+    tasks: BTreeMap<(TaskId, Attempt), Task>,
+}
+
+impl Worker {
+    pub const fn new(shard: ShardId, capacity: Resources, slots: usize) -> Self {
+        Self {
+            shard,
+            capacity,
+            slots,
+            dead: false,
+            sick: false,
+            leaving: None,
+            runs: Vec::new(),
+            task_runs: Vec::new(),
+            high: 0,
+            high_part: 0,
+            active: Vec::new(),
+            tasks: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a request; its number.
+    pub fn begin(&mut self, run: Run) -> usize {
+        let now = run.start;
+        self.active.retain(|index| self.runs[*index].end > now);
+        self.runs.push(run);
+        self.active.push(self.runs.len() - 1);
+        self.high = self.high.max(self.active.len());
+        self.runs.len() - 1
+    }
+
+    /// Requests in progress.
+    pub fn busy(&self, now: Timestamp) -> usize {
+        self.active.iter().filter(|index| self.runs[**index].end > now).count()
+    }
+
+    /// Loses all requests and tasks.
+    pub fn crash(&mut self, now: Timestamp) {
+        self.advance(now);
+        for index in std::mem::take(&mut self.active) {
+            self.runs[index].end = self.runs[index].end.min(now);
+        }
+        let keys: Vec<_> = self.tasks.keys().cloned().collect();
+        for key in keys {
+            self.set(&key, now, WorkerTaskState::Lapsed);
+        }
+        self.tasks.clear();
+        self.dead = true;
+    }
+
+    /// Tasks that run.
+    pub fn running(&self) -> impl Iterator<Item = &TaskStart> {
+        self.tasks.values().filter(|task| task.state == WorkerTaskState::Running).map(|task| &task.start)
+    }
+
+    /// Resources that running tasks may use.
+    pub fn given(&self) -> Resources {
+        let running = self.tasks.values().filter(|task| task.state == WorkerTaskState::Running);
+        running.fold(Resources::ZERO, |sum, task| sum + Resources { cpu: task.cpu, ..task.start.resources })
+    }
+
+    fn set(&mut self, key: &(TaskId, Attempt), at: Timestamp, state: WorkerTaskState) {
+        let Some(task) = self.tasks.get_mut(key) else { return };
+        task.state = state;
+        let open = |run: &&mut TaskRun| run.task == key.0 && run.attempt == key.1 && run.end.is_none();
+        if let Some(run) = self.task_runs.iter_mut().rev().find(open) {
+            run.end = Some(at);
+        }
+    }
+
+    /// Ends tasks whose run time or lease has passed.
+    pub fn advance(&mut self, now: Timestamp) {
+        let running = self.tasks.iter().filter(|(_, task)| task.state == WorkerTaskState::Running);
+        let ends: Vec<_> = running
+            .filter_map(|(key, task)| {
+                let lapse = (task.lease_end, WorkerTaskState::Lapsed);
+                let end = task.end.filter(|end| end.0 <= lapse.0).unwrap_or(lapse);
+                (end.0 <= now).then(|| (key.clone(), end))
+            })
+            .collect();
+        for (key, (at, state)) in ends {
+            self.set(&key, at, state);
+        }
+    }
+
+    fn inventory(&self, now: Timestamp) -> Inventory {
+        let task = |task: &Task| InventoryTask {
+            start: task.start.clone(),
+            state: task.state,
+            usage: (now.since(task.began) >= USAGE_LAG).then_some(task.usage),
+        };
+        Inventory { tasks: self.tasks.values().map(task).collect() }
+    }
+
+    /// Carries out a command; the inventory after it, and the task that it started.
+    pub fn execute(
+        &mut self,
+        now: Timestamp,
+        command: WorkerCommand,
+        rng: &mut dyn Rng,
+    ) -> (Inventory, Option<TaskStart>) {
+        self.advance(now);
+        let mut started = None;
+        match command {
+            WorkerCommand::Start(start) => {
+                if !self.tasks.contains_key(&(start.task.clone(), start.attempt)) {
+                    self.start(now, start.clone(), rng);
+                    started = Some(start);
+                }
+            }
+            WorkerCommand::Renew { tasks, lease_ms, .. } => {
+                for key in tasks {
+                    if let Some(task) = self.tasks.get_mut(&key) {
+                        task.lease_end = now + lease(lease_ms);
+                    }
+                }
+            }
+            WorkerCommand::Stop { tasks, .. } => {
+                for key in tasks {
+                    if self.tasks.get(&key).is_some_and(|task| task.state == WorkerTaskState::Running) {
+                        self.set(&key, now, WorkerTaskState::Stopped);
+                    }
+                }
+            }
+            WorkerCommand::Throttle { task, attempt, resources, .. } => {
+                if let Some(task) = self.tasks.get_mut(&(task, attempt)) {
+                    task.cpu = resources.cpu;
+                }
+            }
+            WorkerCommand::Forget { tasks } => {
+                let ended = |task: &Task| task.state != WorkerTaskState::Running;
+                for key in tasks {
+                    if self.tasks.get(&key).is_some_and(ended) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+            WorkerCommand::Inventory => {}
+        }
+        (self.inventory(now), started)
+    }
+
+    fn start(&mut self, now: Timestamp, start: TaskStart, rng: &mut dyn Rng) {
+        let length = Duration::from_millis(rng.random_range(200..6_000));
+        let end = if self.sick {
+            Some((now + Duration::from_millis(100), WorkerTaskState::Failed))
+        } else if start.kind == JobKind::Service {
+            None
+        } else {
+            Some((now + length, WorkerTaskState::Succeeded))
+        };
+        // Declared sizes are off by up to 4 times in both directions.
+        let quarters = rng.random_range(1..=16_u64);
+        let declared = start.resources;
+        let usage = Resources {
+            cpu: CpuMillis(declared.cpu.0 * quarters / 4),
+            memory: MemoryMib(declared.memory.0 * quarters / 4),
+            ..declared
+        };
+        self.task_runs.push(TaskRun {
+            task: start.task.clone(),
+            attempt: start.attempt,
+            start: now,
+            end: None,
+        });
+        let task = Task {
+            state: WorkerTaskState::Running,
+            began: now,
+            lease_end: now + lease(start.lease_ms),
+            end,
+            cpu: declared.cpu,
+            usage,
+            start: start.clone(),
+        };
+        self.tasks.insert((start.task, start.attempt), task);
+        let given = self.given();
+        let part = |used: u64, of: u64| used * 1_000 / of.max(1);
+        self.high_part = self
+            .high_part
+            .max(part(given.cpu.0, self.capacity.cpu.0))
+            .max(part(given.memory.0, self.capacity.memory.0));
+    }
+}
+
+/// Lease on the worker's clock, which is 5 % slow.
+const fn lease(millis: u64) -> Duration {
+    Duration::from_millis(millis * 105 / 100)
+}
