Take no calls under an older revision after a restart

A host now applies its first configuration at the end of the stream, or from a peer's state, and a peer that still reads the stream gives no state and reports no revision as in force.

--- a/yuccahoist/src/host/peers.rs
+++ b/yuccahoist/src/host/peers.rs
@@ -124,7 +124,9 @@
     }
 
     pub(super) fn heartbeat(&self) -> Heartbeat {
-        let in_force = self.streams.config.fold().in_force();
+        // A host that still reads the stream has nothing in force.
+        let in_force =
+            self.config.as_ref().map(|_| self.streams.config.fold().in_force()).unwrap_or_default();
         Heartbeat {
             host: self.member.host.clone(),
             address: self.member.address,
@@ -233,7 +235,9 @@
                 self.steps.push_back(Step::Front(FrontEvent::AnswerReply { id, outcome }));
             }
             PeerMessage::StateQuery { stream } => {
-                if let Some(snapshot) = self.streams.snapshot(stream) {
+                // The fold of a host that still reads the stream may be far behind.
+                let usable = stream != StreamName::Config || self.config.is_some();
+                if let Some(snapshot) = self.streams.snapshot(stream).filter(|_| usable) {
                     let message = PeerMessage::StateReply { stream, snapshot: snapshot.to_vec() };
                     self.send(from, message, None, turn);
                 }
--- a/yuccahoist/src/host/streams.rs
+++ b/yuccahoist/src/host/streams.rs
@@ -8,7 +8,7 @@
 use crate::duty::Duty;
 use crate::event::HostAction;
 use crate::front::FrontEvent;
-use crate::id::{Incarnation, Offset, RequestId, Sequence};
+use crate::id::{Incarnation, Offset, RequestId, Revision, Sequence};
 use crate::intent::{IntentEffect, IntentFold, IntentRecord};
 use crate::job::{CoordinatorEvent, JobFold, JobRecord};
 use crate::ownership::{CellFold, CellRecord, OwnershipEvent};
@@ -153,7 +153,10 @@
 
     pub(super) fn streams_restore(&mut self, stream: StreamName, record: Bytes, turn: &mut Turn<'_>) {
         match stream {
-            StreamName::Config => self.on_config(StreamEvent::Restore { record }, turn),
+            StreamName::Config => {
+                self.on_config(StreamEvent::Restore { record }, turn);
+                self.start_config(turn);
+            }
             StreamName::Cell => self.on_cell(StreamEvent::Restore { record }, turn),
             StreamName::Jobs => self.on_jobs(StreamEvent::Restore { record }, turn),
             StreamName::Intents => {}
@@ -173,6 +176,7 @@
                     }
                 }
                 StreamAction::CaughtUp { .. } => {
+                    self.start_config(turn);
                     self.steps.push_back(Step::Verdict(VerdictEvent::CaughtUp));
                 }
                 StreamAction::NeedSnapshot => self.ask_state(StreamName::Config, turn),
@@ -182,13 +186,23 @@
     }
 
     fn config_effect(&mut self, effect: ConfigEffect, turn: &mut Turn<'_>) {
-        if let ConfigEffect::InForce(at) = &effect {
+        // Until the first configuration is applied, the fold may be on its way through revisions that are long past.
+        if let (ConfigEffect::InForce(at), Some(_)) = (&effect, &self.config) {
             self.control(format!("configuration revision {} is in force", at.revision), turn);
             self.apply_config(turn);
         }
         self.steps.push_back(Step::Verdict(VerdictEvent::Effect(effect)));
     }
 
+    /// Applies the first configuration: that at the end of the stream, or a peer's.
+    fn start_config(&mut self, turn: &mut Turn<'_>) {
+        let revision = self.streams.config.fold().in_force().revision;
+        if self.config.is_none() && revision > Revision::default() {
+            self.control(format!("configuration revision {revision} is the first in force"), turn);
+            self.apply_config(turn);
+        }
+    }
+
     /// Appends this host's verdict on an edit.
     pub(super) fn append_verdict(&mut self, edit: Offset, turn: &mut Turn<'_>) {
         let Some(verdict) = self.streams.config.fold().judge(edit) else { return };
