Test the invariants at several hosts under faults

Alone, twice and together: kills around appends, dispatches and gang commits, pauses, cuts, log outages, truncation, racing edits, planned stops, workers that die or fail everything, impossible jobs and waves of cancellations.

--- a/yuccahoist/tests/host_faults/cell.rs
+++ b/yuccahoist/tests/host_faults/cell.rs
@@ -31,9 +31,7 @@
 
 /// Base document with a queue limit that tells revisions apart.
 pub fn base(queue: u64) -> Value {
-    let class = |share: f64, run: u64, queue: u64| {
-        json!({"share": share, "queue": queue, "run_limit_ms": run, "deadline_limit_ms": 60_000})
-    };
+    let class = |share: f64, run: u64, queue: u64| json!({"share": share, "queue": queue, "run_limit_ms": run, "deadline_limit_ms": 60_000});
     let racks: Vec<Value> = (0..RACKS)
         .map(|rack| {
             json!({"rack": format!("rack-{rack}"), "zone": format!("zone-{}", rack % 2), "workers": WORKERS,
--- a/yuccahoist/tests/host_faults/checks.rs
+++ b/yuccahoist/tests/host_faults/checks.rs
@@ -29,6 +29,7 @@
         self.run(Duration::from_secs(6));
         self.load = load;
         self.check_calls();
+        self.check_jobs();
         self.check_runs();
         self.check_tasks();
         if let Some(first) = self.violations.first() {
@@ -89,6 +90,15 @@
         self.violations.extend(found);
     }
 
+    /// I3 and I9 of job calls: one reply within the limit of job calls, unless the host ended.
+    fn check_jobs(&mut self) {
+        for (call, replies) in &self.jobs {
+            if replies.len() > 1 {
+                self.violations.push(format!("I3: job call {call} has {} replies", replies.len()));
+            }
+        }
+    }
+
     /// I5.
     fn check_runs(&mut self) {
         let mut runs: BTreeMap<RequestId, Vec<(Timestamp, u64)>> = BTreeMap::new();
@@ -141,8 +151,22 @@
         }
     }
 
+    /// Whether no host could give a verdict in time, because none was sound for long enough.
+    fn verdicts_late(&self) -> bool {
+        let sound = |index: &usize| {
+            let node = &self.nodes[*index];
+            self.runs(*index) && !node.cut_log && self.now.since(node.sound) > 2 * IN_FORCE
+        };
+        (0..self.nodes.len()).find(sound).is_none()
+    }
+
     /// Checks that a host whose way to the log was sound has all edits that are older than the limit.
     fn check_age(&mut self, index: usize, revision: u64) {
+        let log = &self.log;
+        let disturbed = log.down || !log.slow.is_zero() || log.lost + log.late > 0;
+        if disturbed || self.nodes[index].cut_log || self.verdicts_late() {
+            return;
+        }
         let sound = self.nodes[index].sound.max(self.log_sound);
         let due = |edit: &&crate::world::Published| {
             edit.at >= sound && self.now.since(edit.at) > IN_FORCE && edit.based_on >= revision
--- a/yuccahoist/tests/host_faults/main.rs
+++ b/yuccahoist/tests/host_faults/main.rs
@@ -2,32 +2,48 @@
 
 mod cell;
 mod checks;
+mod config;
+mod jobs;
 mod log;
+mod outage;
+mod plan;
+mod requests;
+mod together;
 mod worker;
 mod world;
 
 use std::time::Duration;
 
+use crate::checks::Counts;
+use crate::plan::Plan;
 use crate::world::World;
 
+/// Time after which a fresh cell is owned and serves.
+const STABLE: Duration = Duration::from_secs(8);
+
 const fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
 
-/// Guards against a harness that proves nothing because nothing runs in it.
-#[test]
-fn without_faults_calls_are_answered() {
-    let mut world = World::new(1, 3);
-    world.run(seconds(8));
+/// World that serves already, with enough load that workers are full at times.
+fn serving(seed: u64, hosts: usize) -> World {
+    let mut world = World::new(seed, hosts);
+    world.load = 50.0;
+    world.long = 500;
+    world.run(STABLE);
+    world
+}
+
+/// Runs faults at the given times for a span, then checks that no invariant broke and that the cell serves again.
+fn survives(world: &mut World, plans: &[Plan], span: Duration) {
+    world.run_with(plans, span);
     let since = world.now;
-    let begun = std::time::Instant::now();
-    world.run(seconds(20));
-    eprintln!("{:?}", begun.elapsed());
+    world.run(seconds(4));
     world.finish();
-    let counts = world.counts(since);
-    eprintln!("{counts:?}");
-    for (id, worker) in &world.workers {
-        eprintln!("{id} high {} part {} runs {} tasks {}", worker.high, worker.high_part, worker.runs.len(), worker.task_runs.len());
-    }
-    assert!(counts.answered * 100 >= counts.calls * 95, "{counts:?}");
+    serves(&world.counts(since));
+}
+
+/// Checks that nearly all calls were answered.
+fn serves(counts: &Counts) {
+    assert!(counts.calls > 50 && counts.answered * 100 >= counts.calls * 90, "{counts:?}");
 }
--- /dev/null
+++ b/yuccahoist/tests/host_faults/requests.rs
@@ -0,0 +1,197 @@
+//! Requests under faults of hosts, links and workers: I1, I3 to I7, I9.
+
+use std::time::Duration;
+
+use yuccahoist::request::{Class, Doubt, Outcome};
+
+use crate::plan::Fault;
+use crate::world::{Disturbance, Trap, World};
+use crate::{seconds, serves, serving, survives};
+
+/// Guards against a harness that proves nothing because nothing runs in it.
+#[test]
+fn without_faults_calls_are_answered() {
+    let mut world = serving(1, 3);
+    let since = world.now;
+    world.run(seconds(10));
+    world.finish();
+    serves(&world.counts(since));
+    assert!(world.workers.values().all(|worker| worker.high == worker.slots), "workers are not full");
+}
+
+/// Guards against requests that run twice, are answered wrongly or exceed slots when a process ends right before or
+/// after it writes, and against shards that stay without an owner.
+#[test]
+fn host_that_dies_around_an_append_or_dispatch_breaks_nothing() {
+    let traps = [Trap::BeforeAppend, Trap::AfterAppend, Trap::BeforeDispatch, Trap::AfterDispatch];
+    for (seed, trap) in (10..).zip(traps) {
+        let mut world = serving(seed, 3);
+        let plans = [(1_000, Fault::Trap(0, trap), 1_500), (8_000, Fault::Trap(1, trap), 4_000)];
+        survives(&mut world, &plans, seconds(18));
+    }
+}
+
+/// Guards against a second run after a restart, and against a new process that goes on as the earlier one.
+#[test]
+fn host_that_is_killed_twice_breaks_nothing() {
+    let mut world = serving(20, 3);
+    let plans =
+        [(1_000, Fault::Kill(0), 100), (2_000, Fault::Kill(0), 5_000), (2_500, Fault::Kill(1), 5_000)];
+    survives(&mut world, &plans, seconds(18));
+}
+
+/// Guards against dispatches of a host that comes back from a pause and does not know that its lease has ended.
+#[test]
+fn paused_host_sends_nothing_under_an_ended_lease() {
+    for (seed, length) in [(30, 2_500), (31, 3_500), (32, 9_000)] {
+        let mut world = serving(seed, 3);
+        let plans = [(1_000, Fault::Pause(0), length), (length + 2_000, Fault::Pause(1), length)];
+        survives(&mut world, &plans, seconds(26));
+    }
+}
+
+/// Guards against requests that are lost or repeated when workers die, and against dead workers that get everything.
+#[test]
+fn death_of_workers_breaks_nothing() {
+    let mut world = serving(40, 3);
+    let plans = [(1_000, Fault::WorkerDies(0), 3_000), (3_000, Fault::RackDies(1), 4_000)];
+    survives(&mut world, &plans, seconds(12));
+}
+
+/// Guards against two owners that use one shard fully because they do not hear each other or the log.
+#[test]
+fn cut_hosts_break_nothing() {
+    let faults = [
+        [Fault::CutLink(0, 1), Fault::CutLink(1, 0)],
+        [Fault::CutLog(0), Fault::CutLog(0)],
+        [Fault::CutPeers(0), Fault::CutPeers(1)],
+        [Fault::CutLog(0), Fault::CutPeers(1)],
+        [Fault::CutLog(0), Fault::CutPeers(0)],
+    ];
+    for (seed, [first, second]) in (50..).zip(faults) {
+        let mut world = serving(seed, 3);
+        survives(&mut world, &[(1_000, first, 7_000), (5_000, second, 7_000)], seconds(20));
+    }
+}
+
+/// Guards against wrong, repeated or late answers when messages and answers are late, doubled or lost.
+#[test]
+fn late_doubled_and_lost_messages_break_nothing() {
+    let mut world = serving(60, 3);
+    world.disturbance = Disturbance { late: 200, double: 200, lose: 50 };
+    world.run(seconds(12));
+    world.disturbance = Disturbance::default();
+    survives(&mut world, &[], seconds(3));
+}
+
+/// Guards against a second run of an id that its caller sends to two hosts at once and sends again later.
+#[test]
+fn repeated_id_runs_at_most_once() {
+    for (seed, lost) in [(70, 0), (71, 400)] {
+        let mut world = serving(seed, 3);
+        world.log.lost = lost;
+        world.load = 5.0;
+        let mut ids = Vec::new();
+        for _ in 0..60 {
+            let id = world.id();
+            for host in [0, 1] {
+                world.call(host, (id, false), Class::Batch, "body".into(), seconds(2));
+            }
+            ids.push(id);
+            world.run(Duration::from_millis(50));
+        }
+        for id in ids {
+            world.call(2, (id, false), Class::Batch, "body".into(), seconds(2));
+            world.run(Duration::from_millis(20));
+        }
+        let counts = world.finish();
+        assert!(counts.answered * 2 > counts.calls, "{counts:?}");
+    }
+}
+
+/// Guards against an answer that goes to another body with the same id, at the same host or at another one.
+#[test]
+fn id_with_another_body_gets_no_answer() {
+    let mut world = serving(75, 3);
+    for host in [0, 1] {
+        let id = world.id();
+        let first = world.call(0, (id, false), Class::Urgent, "one".into(), seconds(2));
+        world.run(Duration::from_millis(500));
+        let second = world.call(host, (id, false), Class::Urgent, "other".into(), seconds(2));
+        world.run(seconds(1));
+        assert!(matches!(world.calls[first].outcomes[..], [(_, Outcome::Answered(_))]));
+        assert!(matches!(world.calls[second].outcomes[..], [(_, Outcome::NotRun(_))]));
+    }
+    world.finish();
+}
+
+/// Guards against new work for a worker that is leaving.
+#[test]
+fn leaving_worker_gets_no_new_work() {
+    let mut world = serving(80, 3);
+    let plans = [
+        (1_000, Fault::Drain(0), 9_000),
+        (2_000, Fault::Jobs, 100),
+        (3_000, Fault::Kill(0), 2_000),
+        (4_000, Fault::Drain(3), 6_000),
+    ];
+    survives(&mut world, &plans, seconds(18));
+}
+
+/// Guards against planned stops that interrupt a request, keep a lease or never end, when all hosts are replaced one
+/// after the other.
+#[test]
+fn planned_stops_interrupt_nothing() {
+    let mut world = serving(90, 4);
+    // No request takes as long as the shortest deadline, so none may end as unknown.
+    world.long = 0;
+    world.run(seconds(3));
+    let since = world.now;
+    for host in 0..4 {
+        world.stop(host);
+        wait_for_stop(&mut world, host);
+        world.run(Duration::from_millis(500));
+        world.start(host);
+        world.run(seconds(2));
+    }
+    world.finish();
+    let counts = world.counts(since);
+    serves(&counts);
+    // A duplicate asks the host that had the id first, which may have been replaced since.
+    let interrupted =
+        |outcome: &Outcome| matches!(outcome, Outcome::Unknown(doubt) if *doubt != Doubt::Duplicate);
+    let unknown: Vec<_> = world
+        .calls
+        .iter()
+        .filter(|call| call.at >= since && call.outcomes.iter().any(|(_, outcome)| interrupted(outcome)))
+        .collect();
+    assert!(unknown.is_empty(), "{counts:?}; {unknown:?}");
+}
+
+/// Guards against a planned stop that never ends when the log is down.
+#[test]
+fn planned_stop_ends_without_the_log() {
+    let mut world = serving(95, 3);
+    world.begin(Fault::LogDown, 0);
+    world.run(seconds(1));
+    world.stop(1);
+    wait_for_stop(&mut world, 1);
+    world.finish();
+}
+
+/// Guards against leases that stay blocked when a host dies during its stop.
+#[test]
+fn host_that_dies_during_its_stop_breaks_nothing() {
+    let mut world = serving(100, 3);
+    let plans = [(1_000, Fault::StopAndKill(0), 30), (6_000, Fault::StopAndKill(1), 200)];
+    survives(&mut world, &plans, seconds(14));
+}
+
+/// Longest time of a planned stop: the longest deadline of the load, the run limit, and the log.
+fn wait_for_stop(world: &mut World, host: usize) {
+    let begun = world.now;
+    while world.nodes[host].stopped.is_none() {
+        world.run(Duration::from_millis(100));
+        assert!(world.now.since(begun) < seconds(20), "host {host} does not stop");
+    }
+}
--- a/yuccahoist/tests/host_faults/world.rs
+++ b/yuccahoist/tests/host_faults/world.rs
@@ -48,25 +48,101 @@
     pub sound: Timestamp,
     /// Highest revision that any process of this host took calls under.
     pub revision: u64,
+    /// Point at which the process ends.
+    pub trap: Option<Trap>,
     inbox: Vec<Delivery>,
 }
 
+/// Point at which a process ends at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trap {
+    /// Record is decided and not sent.
+    BeforeAppend,
+    /// Record was sent and its answer is not read.
+    AfterAppend,
+    /// Request passed the lease check and was not sent.
+    BeforeDispatch,
+    /// Request was sent and its answer is not read.
+    AfterDispatch,
+    /// Gang is reserved and not committed.
+    BeforeCommit,
+    /// First shard owner of a gang was told to start its tasks.
+    AfterCommit,
+}
+
 /// Message or call on its way.
 #[derive(Debug, Clone)]
 enum Delivery {
     Event(Incarnation, Event),
     /// Write of a host, at which the time limit is checked.
     Write(Incarnation, Write),
-    Append { node: usize, to: Incarnation, stream: StreamName, seq: Sequence, record: Bytes },
-    LateAppend { stream: StreamName, record: Bytes },
-    Read { node: usize, to: Incarnation, stream: StreamName, from: Offset, asked: Timestamp, until: Timestamp },
-    Request { to: Incarnation, forward: ForwardId, worker: WorkerId, request: Request, bounds: DispatchBounds },
-    RequestEnd { to: Incarnation, forward: ForwardId, worker: WorkerId, run: usize },
-    Command { to: Incarnation, worker: WorkerId, ticket: u64, command: WorkerCommand },
-    Peer { from: usize, sender: Incarnation, to: Incarnation, node: usize, message: PeerMessage },
+    Append {
+        node: usize,
+        to: Incarnation,
+        stream: StreamName,
+        seq: Sequence,
+        record: Bytes,
+    },
+    LateAppend {
+        stream: StreamName,
+        record: Bytes,
+    },
+    Read {
+        node: usize,
+        to: Incarnation,
+        stream: StreamName,
+        from: Offset,
+        asked: Timestamp,
+        until: Timestamp,
+    },
+    Request {
+        to: Incarnation,
+        forward: ForwardId,
+        worker: WorkerId,
+        request: Request,
+        bounds: DispatchBounds,
+    },
+    RequestEnd {
+        to: Incarnation,
+        forward: ForwardId,
+        worker: WorkerId,
+        run: usize,
+    },
+    Command {
+        to: Incarnation,
+        worker: WorkerId,
+        ticket: u64,
+        command: WorkerCommand,
+    },
+    Peer {
+        from: usize,
+        sender: Incarnation,
+        to: Incarnation,
+        node: usize,
+        message: PeerMessage,
+    },
+}
+
+impl Trap {
+    const fn matches(self, write: &Write) -> bool {
+        use yuccahoist::job::{ShardRequest, ShardRequestBody};
+        match self {
+            Self::BeforeAppend | Self::AfterAppend => matches!(write, Write::Append(..)),
+            Self::BeforeDispatch | Self::AfterDispatch => matches!(write, Write::Dispatch(..)),
+            Self::BeforeCommit | Self::AfterCommit => matches!(
+                write,
+                Write::Peer(
+                    _,
+                    _,
+                    PeerMessage::Shard(ShardRequest { body: ShardRequestBody::Commit { .. }, .. }),
+                    _
+                )
+            ),
+        }
+    }
 }
 
-/// Event in a form that can be doubled.
+/// Event that a host will get.
 #[derive(Debug, Clone)]
 enum Event {
     Peer(Incarnation, PeerMessage),
@@ -145,11 +221,15 @@
     pub workers: BTreeMap<WorkerId, Worker>,
     pub calls: Vec<Call>,
     pub jobs: BTreeMap<u64, Vec<(Timestamp, JobReply)>>,
+    /// Jobs that were submitted.
+    pub submitted: Vec<String>,
     pub published: Vec<Published>,
     pub disturbance: Disturbance,
     pub violations: Vec<String>,
     /// Calls a second.
     pub load: f64,
+    /// Requests that run for long, thousandths.
+    pub long: u32,
     /// Whether actions are dropped after their time limit, as the I/O tasks do.
     pub check_until: bool,
     /// Digest of each revision at any host.
@@ -188,10 +268,12 @@
             workers: BTreeMap::new(),
             calls: Vec::new(),
             jobs: BTreeMap::new(),
+            submitted: Vec::new(),
             published: Vec::new(),
             disturbance: Disturbance::default(),
             violations: Vec::new(),
             load: 30.0,
+            long: 50,
             check_until: true,
             digests: BTreeMap::new(),
             settings,
@@ -229,6 +311,7 @@
             cut_to: BTreeSet::new(),
             sound: self.now,
             revision: 0,
+            trap: None,
             inbox: Vec::new(),
         });
         let index = self.nodes.len() - 1;
@@ -254,7 +337,7 @@
         let node = &mut self.nodes[index];
         node.host = Some(Host::new(options));
         node.incarnation = incarnation;
-        (node.paused, node.stopping, node.stopped) = (None, None, None);
+        (node.paused, node.stopping, node.stopped, node.trap) = (None, None, None, None);
         node.inbox.clear();
         node.sound = self.now;
     }
@@ -445,16 +528,26 @@
             HostAction::Send { to, address, message, until } => Write::Peer(to, address, message, until),
             HostAction::Append { stream, seq, record } => Write::Append(stream, seq, record),
             HostAction::Read { stream, from, wait } => Write::Read(stream, from, wait),
-            HostAction::Stopped => {
-                self.nodes[index].stopped = Some(self.now);
-                return;
-            }
+            HostAction::Stopped => return self.stopped(index),
             HostAction::StatusReply { .. } | HostAction::Workers(_) | HostAction::Decision(_) => return,
         };
         let delay = Duration::from_micros(self.rng.random_range(0..500));
         self.post(delay, Delivery::Write(own, write));
     }
 
+    /// I7: nothing is open and nothing is owned.
+    fn stopped(&mut self, index: usize) {
+        let (now, own) = (self.now, self.nodes[index].incarnation);
+        self.nodes[index].stopped = Some(now);
+        let open = |call: &&Call| call.incarnation == own && call.outcomes.is_empty() && !call.excused;
+        let open = self.calls.iter().filter(open).count();
+        let owned = self.nodes[index].host.as_ref().map_or(0, |host| host.status().owned.len());
+        if open > 0 || (owned > 0 && self.log_sound < now) {
+            let text = format!("I7: host {index} stopped at {now} with {open} open calls and {owned} leases");
+            self.violations.push(text);
+        }
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Event(to, event) => {
@@ -518,6 +611,18 @@
     }
 
     fn write(&mut self, index: usize, write: Write) {
+        let trap = self.nodes[index].trap;
+        if trap.is_none_or(|trap| !trap.matches(&write)) {
+            return self.carry_out(index, write);
+        }
+        self.nodes[index].trap = None;
+        if matches!(trap, Some(Trap::AfterAppend | Trap::AfterDispatch | Trap::AfterCommit)) {
+            self.carry_out(index, write);
+        }
+        self.kill(index);
+    }
+
+    fn carry_out(&mut self, index: usize, write: Write) {
         let own = self.nodes[index].incarnation;
         let now = self.now;
         let late = |until: Timestamp| self.check_until && now > until;
@@ -567,13 +672,7 @@
         }
     }
 
-    fn append(
-        &mut self,
-        node: usize,
-        to: Incarnation,
-        stream: StreamName,
-        (seq, record): (Sequence, Bytes),
-    ) {
+    fn append(&mut self, node: usize, to: Incarnation, stream: StreamName, (seq, record): (Sequence, Bytes)) {
         let cut = self.log.down || self.nodes[node].cut_log;
         let lost = self.chance(self.log.lost);
         let result = if cut || self.chance(self.log.late) {
@@ -614,10 +713,8 @@
     fn request(&mut self, delivery: Delivery) {
         let Delivery::Request { to, forward, worker, request, bounds } = delivery else { return };
         let now = self.now;
-        let length = Duration::from_millis(match self.rng.random_range(0..20) {
-            0 => self.rng.random_range(300..900),
-            _ => self.rng.random_range(2..60),
-        });
+        let long = self.chance(self.long);
+        let length = Duration::from_millis(self.rng.random_range(if long { 300..900 } else { 2..60 }));
         let place = self.workers.get_mut(&worker).expect("known worker");
         if place.dead {
             let event = Event::Backend(forward, Err(not_sent("backend server")));
@@ -709,6 +806,10 @@
     }
 
     fn resume(&mut self, index: usize) {
+        // What was queued for peers is still sent after the stop.
+        if self.nodes[index].stopped.is_some_and(|at| self.now.since(at) >= Duration::from_millis(50)) {
+            self.kill(index);
+        }
         if self.nodes[index].paused.is_none_or(|until| until > self.now) {
             return;
         }
