Leave the view only when all answers have arrived

A stopping host appended Leave once its leases were released, while calls of its front were still open at other owners. A lost dispatch was ruled out: the backend server had finished the run in 32 ms. The host now tells the ownership duty whether it waits for answers and leaves the view last; leases are released as early as before.

--- a/yuccahoist/src/host/control.rs
+++ b/yuccahoist/src/host/control.rs
@@ -221,12 +221,21 @@
         self.stop = Some(now);
         self.steps.push_back(Step::Front(FrontEvent::Stop));
         self.steps.push_back(Step::Dispatch(DispatchEvent::Stop));
+        self.steps.push_back(Step::Ownership(OwnershipEvent::Waiting(!self.is_idle())));
         self.steps.push_back(Step::Ownership(OwnershipEvent::Stop));
     }
 
+    /// Whether nothing that this host accepted is open.
+    fn is_idle(&self) -> bool {
+        self.front.is_idle() && self.dispatcher.is_idle() && self.job_calls.is_idle()
+    }
+
     pub(super) fn finish_stop(&mut self, turn: &mut Turn<'_>) {
         let Some(since) = self.stop else { return };
-        if self.stopped || !self.front.is_idle() || !self.dispatcher.is_idle() || !self.job_calls.is_idle() {
+        let idle = self.is_idle();
+        // Peers send answers to members only, so the host leaves the view last.
+        self.steps.push_back(Step::Ownership(OwnershipEvent::Waiting(!idle)));
+        if self.stopped || !idle {
             return;
         }
         let left = !self.peers.in_view(self.incarnation()) && self.streams.cell.pending() == 0;
--- a/yuccahoist/src/ownership/claim.rs
+++ b/yuccahoist/src/ownership/claim.rs
@@ -38,7 +38,7 @@
             return Some(CellRecord::Release { epochs: released });
         }
         if self.phase == Phase::Stopping {
-            return self.has_finished().then_some(CellRecord::Leave);
+            return (self.has_finished() && !self.waiting).then_some(CellRecord::Leave);
         }
         if let Some(epoch) = self.cleared_epoch(now) {
             return Some(CellRecord::Cleared { epoch });
--- a/yuccahoist/src/ownership/message.rs
+++ b/yuccahoist/src/ownership/message.rs
@@ -164,6 +164,8 @@
     },
     /// Planned stop: claim nothing more, and release each lease once it is quiescent.
     Stop,
+    /// Whether a stopping process still waits for answers of peers, and so stays in the view.
+    Waiting(bool),
     /// Time passed.
     Tick,
 }
--- a/yuccahoist/src/ownership/mod.rs
+++ b/yuccahoist/src/ownership/mod.rs
@@ -98,6 +98,7 @@
     run_limit: Duration,
     reduced_max: Duration,
     phase: Phase,
+    waiting: bool,
 
     view: BTreeMap<Incarnation, ViewEntry>,
     suspected: BTreeSet<Incarnation>,
@@ -187,6 +188,7 @@
             run_limit: Duration::ZERO,
             reduced_max: REDUCED_MAX,
             phase: Phase::Running,
+            waiting: false,
             view: BTreeMap::new(),
             suspected: BTreeSet::new(),
             live_changed: Timestamp::ZERO,
@@ -483,6 +485,7 @@
             OwnershipEvent::RunLimit(limit) => self.run_limit = self.run_limit.max(limit),
             OwnershipEvent::Quiescent { epochs } => self.on_quiescent(&epochs),
             OwnershipEvent::Stop => self.on_stop(out),
+            OwnershipEvent::Waiting(waiting) => self.waiting = waiting,
             OwnershipEvent::Tick => self.on_tick(now, out),
         }
         self.refresh_grants(now, out);
