Let a worker have backend server and agent at one address

Cause: validation allowed each address once in the cell, also for the two roles of one worker. The worker stand-in serves both at one address, and the local example states it so; publishing the local example was refused with six errors. A wrong example was ruled out: the page of the stand-in describes one address per worker, and nothing depends on two. Change: an address belongs to one worker. An address of two workers is refused as before. Result: the local example passes 'yuccahoist check'; tests cover both sides.

--- a/yuccahoist/src/config/validate/fleet.rs
+++ b/yuccahoist/src/config/validate/fleet.rs
@@ -1,6 +1,6 @@
 //! Racks, workers and their addresses.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use super::Findings;
@@ -13,6 +13,9 @@
 /// Longest name of a rack, so that names of its workers stay within the limit of a name.
 const RACK_NAME_LIMIT: usize = 56;
 
+/// Worker at each address, by the index of its rack and its number.
+type Occupied = BTreeMap<SocketAddr, (usize, u32)>;
+
 /// Capacities of the fleet that must not drop by more than half at once.
 pub(super) fn capacity(document: &CellDocument) -> [(&'static str, u64); 5] {
     let mut sums = [("workers", 0), ("cpu_millis", 0), ("memory_mib", 0), ("accelerators", 0), ("slots", 0)];
@@ -38,7 +41,7 @@
     let total: u64 = racks.iter().map(|rack| u64::from(rack.workers)).sum();
     findings.check(total <= FLEET_LIMIT, "workers.racks (workers)", total, format!("at most {FLEET_LIMIT}"));
     let mut names = BTreeSet::new();
-    let mut addresses = BTreeSet::new();
+    let mut addresses = Occupied::new();
     for (index, rack) in racks.iter().enumerate() {
         let path = format!("workers.racks[{index}]");
         findings.check(names.insert(&rack.rack), format!("{path}.rack"), &rack.rack, "each rack once");
@@ -52,7 +55,7 @@
         check_capacity(rack.capacity, &path, findings);
         findings.range(format!("{path}.workers"), rack.workers, 1, RACK_LIMIT);
         if rack.workers <= RACK_LIMIT && total <= FLEET_LIMIT {
-            check_addresses(rack, &path, &mut addresses, findings);
+            check_addresses(index, rack, &mut addresses, findings);
         }
     }
 }
@@ -67,9 +70,10 @@
     findings.range(path("connections"), capacity.connections.0, capacity.slots.0.max(1), 65_535);
 }
 
-fn check_addresses(rack: &RackSection, path: &str, seen: &mut BTreeSet<SocketAddr>, findings: &mut Findings) {
+/// A worker may have its backend server and its agent at one address.
+fn check_addresses(index: usize, rack: &RackSection, occupied: &mut Occupied, findings: &mut Findings) {
     for (field, addresses) in [("backend", &rack.backend), ("agent", &rack.agent)] {
-        let path = format!("{path}.{field}");
+        let path = format!("workers.racks[{index}].{field}");
         if let Addresses::List(list) = addresses
             && list.len() != rack.workers as usize
         {
@@ -81,11 +85,12 @@
             match addresses.resolve(number) {
                 Err(text) => findings.check(false, path.as_str(), text, "ip:port"),
                 Ok(address) => {
+                    let worker = (index, number);
                     findings.check(
-                        seen.insert(address),
+                        *occupied.entry(address).or_insert(worker) == worker,
                         path.as_str(),
                         address,
-                        "each address once in the cell",
+                        "each address once in the cell, or for backend server and agent of one worker",
                     );
                 }
             }
--- a/yuccahoist/tests/config_validate.rs
+++ b/yuccahoist/tests/config_validate.rs
@@ -103,6 +103,12 @@
     assert_eq!(config.cell_run_limit.as_secs(), 90);
 }
 
+/// Guards against a refusal of workers that have backend server and agent at one address, as the stand-ins have.
+#[test]
+fn backend_server_and_agent_of_a_worker_may_share_an_address() {
+    assert_eq!(validate(&example("local/config")), Ok(()));
+}
+
 /// Guards against a merge that differs from the examples of RFC 7396, appendix A.
 #[test]
 fn merge_follows_rfc_7396() {
@@ -175,6 +181,13 @@
             "workers.racks[1].backend",
             "each address once",
         ),
+        case(
+            "base",
+            "/workers/racks/1/agent",
+            json!("10.31.1.{worker}:8080"),
+            "workers.racks[1].agent",
+            "each address once",
+        ),
         case(
             "base",
             "/workers/racks/1/backend",
