--- a/yuccahoist_bench/src/bin/experiment/main.rs
+++ b/yuccahoist_bench/src/bin/experiment/main.rs
@@ -1,5 +1,6 @@
 //! Experiments with the decision logic in model time.
 
+mod dissemination;
 mod requests;
 
 use argh::FromArgs;
@@ -15,12 +16,14 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
+    Dissemination(dissemination::Options),
     Requests(requests::Options),
 }
 
 fn main() {
     let options: Options = argh::from_env();
     match options.experiment {
+        Experiment::Dissemination(options) => dissemination::run(&options),
         Experiment::Requests(options) => requests::run(&options),
     }
 }
