Take jobs of other coordinators out of the queue

Cause: every host queued the waiting jobs of all partitions and never took out those of partitions that it does not own. Its queue was therefore never empty, so it asked every shard for its room every second in place of every five seconds. Change: a pass takes out a job whose partition is not owned; a grant queues the jobs of its partition again.

--- a/yuccahoist/src/job/coordinator/schedule.rs
+++ b/yuccahoist/src/job/coordinator/schedule.rs
@@ -98,7 +98,9 @@
     /// Starts tasks of a job as far as it is possible now, and notes why the others wait.
     pub(super) fn start_job(&mut self, turn: &mut Turn<'_>, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
-        if job.waiting() == 0 || job.is_ending() {
+        // A job of another coordinator must not count as waiting here. A grant of its partition queues it again.
+        let foreign = !self.partitions.contains_key(&job.partition);
+        if foreign || job.waiting() == 0 || job.is_ending() {
             self.queue.remove(&QueueKey::of(job));
             return;
         }
