--- a/yuccahoist_bench/src/lib.rs
+++ b/yuccahoist_bench/src/lib.rs
@@ -1,4 +1,6 @@
 //! Benches and experiments for the decision logic.
 
+pub mod control;
+pub mod dissemination;
 pub mod packing;
 pub mod requests;
