--- a/yuccahoist/src/job/coordinator.rs
+++ b/yuccahoist/src/job/coordinator.rs
@@ -150,8 +150,7 @@
         Some(known.status())
     }
 
-    /// Job with what the coordinator knows of shards, for failed tests.
-    #[must_use]
+    /// x
     pub fn dump(&self, job: &JobId) -> String {
         format!(
             "{:?} SHARDS {:?} ROOMS {:?} PENDING {:?}",
