--- a/yuccahoist/tests/fleet/mod.rs
+++ b/yuccahoist/tests/fleet/mod.rs
@@ -169,6 +169,9 @@
     Record {
         offset: Offset,
     },
+    Kill {
+        host: usize,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -358,14 +361,14 @@
                 // A command may leave as late as `until`.
                 let message = Message::Command { host, incarnation, worker, ticket, command, answer: true };
                 let hold = until.since(self.now);
-                self.post(message, hold);
+                self.post(&message, hold);
             }
             PlacementAction::Command { worker, ticket, .. } => {
                 let message = Message::Done { host, incarnation, worker, ticket, inventory: None };
                 self.deliver_at(self.now + STEP, message);
             }
             PlacementAction::Reply { to, reply } => {
-                self.post(Message::Reply { from: incarnation, to, reply }, Duration::ZERO);
+                self.post(&Message::Reply { from: incarnation, to, reply }, Duration::ZERO);
             }
             PlacementAction::Decision(_) => {}
         }
@@ -382,7 +385,7 @@
             }
             CoordinatorAction::Send { to, request, until } if self.now < until => {
                 let hold = until.since(self.now).min(Duration::from_millis(100));
-                self.post(Message::Request { from, to, request }, hold);
+                self.post(&Message::Request { from, to, request }, hold);
             }
             CoordinatorAction::Send { .. } | CoordinatorAction::Decision { .. } => {}
         }
@@ -399,7 +402,7 @@
         self.now < seconds(self.faults.quiet) && self.rng.random_range(0..1_000) < part
     }
 
-    fn post(&mut self, message: Message, hold: Duration) {
+    fn post(&mut self, message: &Message, hold: Duration) {
         let copies = if self.chance(self.faults.double) { 2 } else { 1 };
         for _ in 0..copies {
             let mut delay = Duration::from_millis(self.rng.random_range(1..4));
@@ -408,7 +411,7 @@
                 delay = Duration::from_millis(self.rng.random_range(1..most));
             }
             let lost = self.chance(self.faults.lose);
-            match &message {
+            match message {
                 Message::Command { host, incarnation, worker, ticket, .. } if lost => {
                     let (worker, ticket) = (worker.clone(), *ticket);
                     let failed = Message::Done {
@@ -469,6 +472,7 @@
                 let Some(host) = self.find(to) else { return };
                 self.give(host, Event::Coordinator(CoordinatorEvent::Appended { ticket }));
             }
+            Message::Kill { host } => self.hosts[host].dead = true,
             Message::Record { offset } => {
                 for host in 0..self.hosts.len() {
                     if !self.hosts[host].dead {
@@ -709,34 +713,49 @@
     /// Runs until a time, seconds.
     pub fn run_to(&mut self, end: u64) {
         while self.now < seconds(end) {
-            let next = self.now + STEP;
-            while let Some((&(at, sequence), _)) = self.messages.first_key_value() {
-                if at >= next {
-                    break;
-                }
-                let message = self.messages.remove(&(at, sequence)).expect("present");
-                self.now = at.max(self.now);
-                self.deliver(message);
-            }
-            self.now = next;
-            self.inject();
-            if self.now >= self.next_renewal {
-                self.next_renewal = self.now + Duration::from_secs(1);
-                self.own();
-            }
-            let now = self.now;
-            for worker in self.workers.values_mut() {
-                worker.advance(now);
+            self.step();
+        }
+    }
+
+    /// Runs one step.
+    pub fn step(&mut self) {
+        let next = self.now + STEP;
+        while let Some((&(at, sequence), _)) = self.messages.first_key_value() {
+            if at >= next {
+                break;
             }
-            for host in 0..self.hosts.len() {
-                if self.hosts[host].paused.is_none() {
-                    self.give(host, Event::Placement(PlacementEvent::Tick));
-                    self.give(host, Event::Coordinator(CoordinatorEvent::Tick));
-                }
+            let message = self.messages.remove(&(at, sequence)).expect("present");
+            self.now = at.max(self.now);
+            self.deliver(message);
+        }
+        self.now = next;
+        self.inject();
+        if self.now >= self.next_renewal {
+            self.next_renewal = self.now + Duration::from_secs(1);
+            self.own();
+        }
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            worker.advance(now);
+        }
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].paused.is_none() {
+                self.give(host, Event::Placement(PlacementEvent::Tick));
+                self.give(host, Event::Coordinator(CoordinatorEvent::Tick));
             }
         }
     }
 
+    /// Host that coordinates a team.
+    pub fn coordinator_of(&self, team: &str) -> usize {
+        self.owners[&Subject::Partition(partition_of(&name(team)))].host
+    }
+
+    /// Kills a host between two messages.
+    pub fn kill_after(&mut self, host: usize, delay: Duration) {
+        self.deliver_at(self.now + delay, Message::Kill { host });
+    }
+
     pub fn submit(&mut self, spec: JobSpec) {
         self.append(JobRecord::Submitted(spec));
     }
--- a/yuccahoist_bench/src/lib.rs
+++ b/yuccahoist_bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Benches and experiments for the decision logic.
 
+pub mod packing;
 pub mod requests;
