--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -1,8 +1,8 @@
 //! Assembly of one entry host.
 //!
-//! A host has one thread with a local runtime: Cap'n Proto objects cannot move between threads, and the host actor handles
-//! every event anyway, so that an event of a peer reaches it without waking another thread. Callers' HTTP and the
-//! platform clients run on the same thread, or on threads of their own when `io_threads` is set.
+//! A host has one thread with a local runtime: the host actor handles every event, so that an event of a peer reaches it
+//! without waking another thread. Callers' HTTP and the platform clients run on the same thread, or on threads of their
+//! own when `io_threads` is set.
 
 use std::fmt;
 use std::future::Future;
