Check the time limit at each backend server and older states of peers

A pause right after a dispatch was decided, a check of each request's time limit at the backend server, and a new host that hears from a peer behind the others cover them.

--- a/yuccahoist/tests/host_faults/config.rs
+++ b/yuccahoist/tests/host_faults/config.rs
@@ -101,3 +101,27 @@
     survives(&mut world, &[], seconds(5));
     assert_eq!(world.revision(), before + 1);
 }
+
+/// Guards against an older state of one peer that replaces the newer state of another.
+#[test]
+fn older_state_of_a_peer_is_ignored() {
+    let mut world = serving(350, 3);
+    world.load = 5.0;
+    world.begin(Fault::CutLog(0), 0);
+    world.edit(1);
+    world.run(seconds(3));
+    let revision = world.revision();
+    world.begin(Fault::LogDown, 0);
+    world.run(seconds(2));
+    let new = world.add();
+    world.run(seconds(8));
+    let status = world.nodes[new].host.as_ref().expect("runs").status();
+    assert_eq!(status.hosts[0].revision.0, revision);
+    world.nodes[0].cut_log = false;
+    world.nodes[0].sound = world.now;
+    world.log.down = false;
+    world.log_sound = world.now;
+    world.run(seconds(8));
+    world.load = 50.0;
+    survives(&mut world, &[], seconds(4));
+}
--- a/yuccahoist/tests/host_faults/plan.rs
+++ b/yuccahoist/tests/host_faults/plan.rs
@@ -54,6 +54,7 @@
         Just(Trap::AfterDispatch),
         Just(Trap::BeforeCommit),
         Just(Trap::AfterCommit),
+        Just(Trap::PauseAtDispatch),
     ];
     prop_oneof![
         2 => host().prop_map(Fault::Kill),
--- a/yuccahoist/tests/host_faults/requests.rs
+++ b/yuccahoist/tests/host_faults/requests.rs
@@ -50,6 +50,17 @@
     }
 }
 
+/// Guards against a dispatch that was decided before a pause and leaves after it.
+#[test]
+fn dispatch_that_was_decided_before_a_pause_is_dropped() {
+    let mut world = serving(35, 3);
+    let plans = [
+        (1_000, Fault::Trap(0, Trap::PauseAtDispatch), 1_000),
+        (8_000, Fault::Trap(1, Trap::PauseAtDispatch), 1_000),
+    ];
+    survives(&mut world, &plans, seconds(18));
+}
+
 /// Guards against requests that are lost or repeated when workers die, and against dead workers that get everything.
 #[test]
 fn death_of_workers_breaks_nothing() {
--- a/yuccahoist/tests/host_faults/world.rs
+++ b/yuccahoist/tests/host_faults/world.rs
@@ -68,6 +68,8 @@
     BeforeCommit,
     /// First shard owner of a gang was told to start its tasks.
     AfterCommit,
+    /// Request passed the lease check and was not sent; the process pauses for 4 s in place of its end.
+    PauseAtDispatch,
 }
 
 /// Message or call on its way.
@@ -101,6 +103,7 @@
         worker: WorkerId,
         request: Request,
         bounds: DispatchBounds,
+        until: Timestamp,
     },
     RequestEnd {
         to: Incarnation,
@@ -128,7 +131,9 @@
         use yuccahoist::job::{ShardRequest, ShardRequestBody};
         match self {
             Self::BeforeAppend | Self::AfterAppend => matches!(write, Write::Append(..)),
-            Self::BeforeDispatch | Self::AfterDispatch => matches!(write, Write::Dispatch(..)),
+            Self::BeforeDispatch | Self::AfterDispatch | Self::PauseAtDispatch => {
+                matches!(write, Write::Dispatch(..))
+            }
             Self::BeforeCommit | Self::AfterCommit => matches!(
                 write,
                 Write::Peer(
@@ -616,6 +621,11 @@
             return self.carry_out(index, write);
         }
         self.nodes[index].trap = None;
+        if trap == Some(Trap::PauseAtDispatch) {
+            self.pause(index, Duration::from_secs(4));
+            let own = self.nodes[index].incarnation;
+            return self.nodes[index].inbox.push(Delivery::Write(own, write));
+        }
         if matches!(trap, Some(Trap::AfterAppend | Trap::AfterDispatch | Trap::AfterCommit)) {
             self.carry_out(index, write);
         }
@@ -630,9 +640,9 @@
             Write::Dispatch(forward, _, _, _, until) if late(until) => {
                 self.deliver(Delivery::Event(own, Event::Backend(forward, Err(not_sent("backend server")))));
             }
-            Write::Dispatch(forward, worker, request, bounds, _) => {
+            Write::Dispatch(forward, worker, request, bounds, until) => {
                 let transit = self.transit(100);
-                self.post(transit, Delivery::Request { to: own, forward, worker, request, bounds });
+                self.post(transit, Delivery::Request { to: own, forward, worker, request, bounds, until });
             }
             Write::Command(worker, ticket, _, until) if late(until) => {
                 self.deliver(Delivery::Event(own, Event::Worker(worker, ticket, Err(not_sent("worker")))));
@@ -711,7 +721,7 @@
     }
 
     fn request(&mut self, delivery: Delivery) {
-        let Delivery::Request { to, forward, worker, request, bounds } = delivery else { return };
+        let Delivery::Request { to, forward, worker, request, bounds, until } = delivery else { return };
         let now = self.now;
         let long = self.chance(self.long);
         let length = Duration::from_millis(self.rng.random_range(if long { 300..900 } else { 2..60 }));
@@ -720,6 +730,11 @@
             let event = Event::Backend(forward, Err(not_sent("backend server")));
             return self.post(Duration::from_millis(1), Delivery::Event(to, event));
         }
+        // The way to the backend server takes up to 100 ms.
+        if now.since(until) > Duration::from_millis(100) {
+            self.violations
+                .push(format!("I1: {worker} got {} at {now}, after its limit {until}", request.id));
+        }
         // A request may be under way when the list shows the worker as leaving.
         if place.leaving.is_some_and(|at| now.since(at) > POLL + Duration::from_millis(200)) {
             self.violations.push(format!("I6: {worker} got {} at {now} while leaving", request.id));
