--- a/yuccahoistd/tests/processes/drain.rs
+++ b/yuccahoistd/tests/processes/drain.rs
@@ -14,22 +14,26 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn terminated_host_finishes_its_requests() {
     let mut cell = Cell::start(3, 3).await;
-    let others = Load::start(&cell.caller, &[cell.api(1), cell.api(2)], 4, Duration::from_millis(20));
+    let owner = cell.owner().await;
+    let host = cell.api(owner);
+    let apis = cell.apis();
+    let rest: Vec<_> = apis.into_iter().filter(|api| *api != host).collect();
+    let others = Load::start(&cell.caller, &rest, 4, Duration::from_millis(20));
     // The balancer sends to a host until it is not ready.
-    let own = Load::start(&cell.caller, &[cell.api(0)], 8, Duration::from_millis(700));
+    let own = Load::start(&cell.caller, &[host], 8, Duration::from_millis(700));
     tokio::time::sleep(Duration::from_millis(500)).await;
-    cell.process(0).signal(Signal::TERM);
-    let ready = format!("http://{}/v1/ready", cell.api(0));
+    cell.process(owner).signal(Signal::TERM);
+    let ready = format!("http://{}/v1/ready", host);
     until("end of readiness", LIMIT, || async {
         cell.caller.client().get(&ready).send().await.is_ok_and(|response| response.status() == 503)
     })
     .await;
     let mut sent = own.finish().await;
-    let status = cell.process(0).end(LIMIT).await;
-    assert_eq!(status.code(), Some(0), "{}", cell.process(0).output());
+    let status = cell.process(owner).end(LIMIT).await;
+    assert_eq!(status.code(), Some(0), "{}", cell.process(owner).output());
     let broken: Vec<_> = sent.iter().filter(|one| !one.is("answered")).collect();
     assert!(broken.is_empty(), "{} of {}: {broken:?}", broken.len(), sent.len());
-    cell.kill(0).await;
+    cell.forget(owner);
     cell.wait_owned(Share::Full).await;
     let others = others.finish().await;
     let cut: Vec<_> = others.iter().filter(|one| one.result.is_err() || one.is("unknown")).collect();
--- a/yuccahoistd/tests/processes/failure.rs
+++ b/yuccahoistd/tests/processes/failure.rs
@@ -14,9 +14,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn killed_host_loses_no_rack_and_repeats_no_request() {
     let mut cell = Cell::start(3, 3).await;
+    let owner = cell.owner().await;
     let load = Load::start(&cell.caller, &cell.apis(), 4, TIME);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    cell.kill(0).await;
+    cell.kill(owner).await;
     cell.wait_owned(Share::Remainder).await;
     let sent = load.finish().await;
     assert!(sent.iter().any(|one| one.is("answered")));
@@ -24,14 +25,15 @@
 
     // A caller whose host died repeats its request at another host.
     let mut repeated = Vec::new();
+    let other = cell.apis()[0];
     for lost in sent.iter().filter(|one| one.result.is_err() && !one.call.idempotent).take(4) {
-        repeated.push(cell.caller.send(cell.api(1), &lost.call).await);
+        repeated.push(cell.caller.send(other, &lost.call).await);
     }
     check(&cell.record().await, &repeated);
 
-    cell.start_host(0);
+    cell.start_host(owner);
     cell.wait_full().await;
-    let one = cell.caller.send(cell.api(0), &Call::new(false, TIME)).await;
+    let one = cell.caller.send(cell.api(owner), &Call::new(false, TIME)).await;
     assert!(one.is("answered"), "{one:?}");
 }
 
@@ -39,13 +41,14 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_host_starts_nothing_late() {
     let mut cell = Cell::start(3, 3).await;
+    let owner = cell.owner().await;
     let load = Load::start(&cell.caller, &cell.apis(), 10, Duration::from_millis(100));
     tokio::time::sleep(Duration::from_millis(500)).await;
-    cell.process(0).signal(Signal::STOP);
+    cell.process(owner).signal(Signal::STOP);
     // Beyond the lease of 3 s with its margin, and the run limit of 1.5 s after it.
     tokio::time::sleep(Duration::from_secs(6)).await;
-    cell.process(0).signal(Signal::CONT);
-    let host = cell.api(0);
+    cell.process(owner).signal(Signal::CONT);
+    let host = cell.api(owner);
     until("answer of the host that was paused", LIMIT, || async {
         cell.caller.send(host, &Call::new(false, TIME)).await.is("answered")
     })
--- a/yuccahoistd/tests/processes/harness/cell.rs
+++ b/yuccahoistd/tests/processes/harness/cell.rs
@@ -155,9 +155,26 @@
     pub async fn kill(&mut self, index: usize) {
         self.process(index).signal(Signal::KILL);
         self.process(index).end(LIMIT).await;
+        self.forget(index);
+    }
+
+    /// Takes a host that has ended out of the running ones.
+    pub fn forget(&mut self, index: usize) {
         self.entries[index].process = None;
     }
 
+    /// Index of a host that owns a rack.
+    pub async fn owner(&self) -> usize {
+        for (index, entry) in self.entries.iter().enumerate() {
+            let status = self.status(entry.api).await;
+            let is_rack = |subject: &Subject| matches!(subject, Subject::Shard(_));
+            if status.is_some_and(|status| status.owned.iter().any(|owned| is_rack(&owned.subject))) {
+                return index;
+            }
+        }
+        panic!("no host owns a rack");
+    }
+
     /// Callers' address of a host.
     pub fn api(&self, index: usize) -> SocketAddr {
         self.entries[index].api
