Look for due lists and the own load less often, and record the control cost

Cause: at full size an idle entry host took 2.2 % of a core, most of it in ticks that looked at every shard for due lists and worked out the load of its own shards. Change: lists are checked every 50 ms; the load is worked out after events of the dispatcher and every 100 ms. The measurement counts thread time and sizes tasks by the fleet.

--- a/yuccahoist/src/host/peers.rs
+++ b/yuccahoist/src/host/peers.rs
@@ -23,6 +23,9 @@
 
 /// Time between load summaries to all peers.
 const LOAD_PERIOD: Duration = Duration::from_millis(500);
+/// Time between summaries for this host's own front while nothing happens at the dispatcher. They change by events, but
+/// for the end of a grant, after which the dispatcher refuses by itself.
+const OWN_LOAD_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time between load summaries to one peer that go with its replies.
 const LOAD_WITH_REPLY: Duration = Duration::from_millis(20);
 /// Time between greetings of the addresses in the settings, while this host is not a member.
@@ -47,6 +50,9 @@
     pub(super) known: BTreeMap<Incarnation, Known>,
     load_sent: BTreeMap<Incarnation, Timestamp>,
     load_shared: Option<Timestamp>,
+    own_load: Option<Timestamp>,
+    /// Whether the dispatcher's load may have changed since this host's own front got it.
+    pub(super) load_changed: bool,
     greeted: Option<Timestamp>,
 }
 
@@ -59,6 +65,8 @@
             known: BTreeMap::new(),
             load_sent: BTreeMap::new(),
             load_shared: None,
+            own_load: None,
+            load_changed: true,
             greeted: None,
         }
     }
@@ -173,8 +181,15 @@
 
     /// Gives this host's front the load of its own shards, and peers at intervals.
     pub(super) fn share_load(&mut self, turn: &mut Turn<'_>) {
+        let due = |last: Option<Timestamp>, period| last.is_none_or(|at| turn.now.since(at) >= period);
+        let share = due(self.peers.load_shared, LOAD_PERIOD);
+        if !share && !self.peers.load_changed && !due(self.peers.own_load, OWN_LOAD_PERIOD) {
+            return;
+        }
+        self.peers.own_load = Some(turn.now);
+        self.peers.load_changed = false;
         let shards = self.dispatcher.load(turn.now);
-        if self.peers.load_shared.is_none_or(|at| turn.now.since(at) >= LOAD_PERIOD) {
+        if share {
             self.peers.load_shared = Some(turn.now);
             for peer in self.peers.others(self.incarnation()) {
                 self.send(peer, PeerMessage::Load(shards.clone()), None, turn);
--- a/yuccahoist/src/host/requests.rs
+++ b/yuccahoist/src/host/requests.rs
@@ -79,6 +79,7 @@
     }
 
     pub(super) fn dispatch_event(&mut self, event: DispatchEvent, turn: &mut Turn<'_>) {
+        self.peers.load_changed |= !matches!(event, DispatchEvent::Tick);
         let mut actions = Vec::new();
         self.dispatcher.handle(turn.now, event, turn.rng, &mut actions);
         for action in actions {
--- a/yuccahoist/src/job/coordinator.rs
+++ b/yuccahoist/src/job/coordinator.rs
@@ -111,6 +111,7 @@
     counter: u64,
     order: u64,
     swept: Timestamp,
+    list_checked: Timestamp,
     passed: Timestamp,
     dirty: bool,
 }
@@ -137,6 +138,7 @@
             counter: 0,
             order: 0,
             swept: Timestamp::ZERO,
+            list_checked: Timestamp::ZERO,
             passed: Timestamp::ZERO,
             dirty: false,
         }
@@ -607,7 +609,7 @@
             self.swept = turn.now;
             self.sweep(turn.now);
         }
-        self.list_due(turn);
+        self.list_at_tick(turn);
         self.pass(turn);
         self.flush(turn);
         self.append_due(turn);
--- a/yuccahoist/src/job/coordinator/shards.rs
+++ b/yuccahoist/src/job/coordinator/shards.rs
@@ -12,6 +12,8 @@
 
 /// Time between requests for the list of a shard that has not listed completely.
 const RECOVER_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between checks for lists that are due. A check looks at every shard and takes too long for every tick.
+const LIST_CHECK: Duration = Duration::from_millis(50);
 /// Time between lists of each partition, which find reports that were lost.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// Age of a room estimate after which a list is asked for.
@@ -132,9 +134,17 @@
         self.list_due(turn);
     }
 
+    /// Asks for lists that are due, if that was not checked a short time ago.
+    pub(super) fn list_at_tick(&mut self, turn: &mut Turn<'_>) {
+        if turn.now.since(self.list_checked) >= LIST_CHECK {
+            self.list_due(turn);
+        }
+    }
+
     /// Asks for lists that are due.
     pub(super) fn list_due(&mut self, turn: &mut Turn<'_>) {
         let now = turn.now;
+        self.list_checked = now;
         let room_age = if self.queue.is_empty() { ROOM_AGE } else { WAITING_ROOM_AGE };
         let mut due = Vec::new();
         for (shard, view) in &mut self.shards {
--- a/yuccahoist_bench/src/bin/control.rs
+++ b/yuccahoist_bench/src/bin/control.rs
@@ -16,6 +16,9 @@
     /// runs of each size, of which the median processor time counts (1)
     #[argh(option, default = "1")]
     runs: usize,
+    /// one axis only: hosts, racks, tasks, teams or edits
+    #[argh(option, from_str_fn(axis))]
+    axis: Option<Axis>,
     /// only full size
     #[argh(switch)]
     full: bool,
@@ -24,6 +27,11 @@
     json: bool,
 }
 
+fn axis(name: &str) -> Result<Axis, String> {
+    let found = Axis::ALL.into_iter().find(|axis| axis.to_string() == name);
+    found.ok_or_else(|| format!("axis {name:?} does not exist"))
+}
+
 fn allocated() -> usize {
     let stats = ALLOCATOR.stats();
     stats.bytes_allocated.wrapping_sub(stats.bytes_deallocated)
@@ -35,7 +43,7 @@
     let mut known: Vec<(Size, Load, Vec<Outcome>)> = Vec::new();
     for (axis, size) in points() {
         let full = axis == Axis::Hosts && size == Size::FULL;
-        if options.full && !full {
+        if options.full && !full || options.axis.is_some_and(|only| only != axis) {
             continue;
         }
         for load in [Load::Idle, Load::Peak] {
--- a/yuccahoist_bench/src/bin/latency.rs
+++ b/yuccahoist_bench/src/bin/latency.rs
@@ -82,8 +82,8 @@
     after: Times,
     /// Requests after kills that were refused or got no answer.
     unanswered: u64,
-    /// Time from each kill until every rack and partition had an owner with some capacity, milliseconds; taken from the end of
-    /// the counted time on.
+    /// Time from each kill until every rack and partition had an owner with some capacity, milliseconds; looked at
+    /// from the end of the counted time on, so at least that time.
     takeover: Vec<f64>,
 }
 
--- a/yuccahoist_bench/src/control/cell.rs
+++ b/yuccahoist_bench/src/control/cell.rs
@@ -16,8 +16,12 @@
 const ACCELERATORS: u32 = 8;
 /// Tasks of a batch job.
 pub(super) const JOB_TASKS: usize = 100;
-/// Resources of each task; 292 of them fit on a worker, so that 14,000 tasks fit on 48 workers.
-pub(super) const TASK: Resources = Resources::new(200, 800, 0);
+/// Processors of a worker, thousandths.
+const CPU: usize = 64_000;
+/// Memory of a worker, MiB.
+const MEMORY: usize = 262_144;
+/// Part of the fleet that all tasks together take, per cent.
+const FILLED: usize = 60;
 
 /// What varies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -107,6 +111,15 @@
         self.tasks / 5
     }
 
+    /// Resources of each task: an equal part of what is used of the fleet, and at most a tenth of a worker.
+    fn task(&self) -> Resources {
+        let share = |capacity: usize| {
+            let part = self.racks * RACK * capacity / 100 * FILLED / self.tasks;
+            part.min(capacity / 10) as u64
+        };
+        Resources::new(share(CPU), share(MEMORY), 0)
+    }
+
     /// Batch jobs that keep the rest of the tasks running.
     pub(super) fn jobs(&self) -> usize {
         (self.tasks - self.service_tasks()).div_ceil(JOB_TASKS)
@@ -141,7 +154,7 @@
 
     fn service(&self, team: usize) -> Value {
         json!({
-            "team": team_name(team), "priority": 200, "spread": "rack", "resources": TASK,
+            "team": team_name(team), "priority": 200, "spread": "rack", "resources": self.task(),
             "tasks": (self.service_tasks() / self.teams).max(1),
             // A backend server offers the services of its own rack only.
             "racks": (0..self.racks).filter(|rack| rack % self.teams == team % self.racks).map(rack_name)
@@ -157,7 +170,7 @@
             team: team_name(number % self.teams).parse().ok()?,
             priority: Priority(100),
             tasks: u32::try_from(JOB_TASKS).ok()?,
-            resources: TASK,
+            resources: self.task(),
             runtime_ms: None,
             attempts: DEFAULT_ATTEMPTS,
         })
@@ -178,7 +191,7 @@
         "zone": ZONES[index % ZONES.len()],
         "workers": RACK,
         "capacity": {
-            "cpu_millis": 64_000, "memory_mib": 262_144, "slots": 8, "connections": 64,
+            "cpu_millis": CPU, "memory_mib": MEMORY, "slots": 8, "connections": 64,
             "accelerators": if index.is_multiple_of(5) { ACCELERATORS } else { 0 },
         },
         "backend": format!("127.1.{index}.{{worker}}:8080"),
--- a/yuccahoist_bench/src/control/mod.rs
+++ b/yuccahoist_bench/src/control/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Complete [`yuccahoist::host::Host`] state machines run against a model of the log service and of the workers, in model
 //! time and without a network. What one of them sends, reads and appends is counted with the product's own encoding.
-//! The time that its `handle` takes is measured by the monotonic clock.
+//! The time that its `handle` takes is processor time of the thread.
 
 mod cell;
 mod log;
--- a/yuccahoist_bench/src/control/world.rs
+++ b/yuccahoist_bench/src/control/world.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use cpu_time::ThreadTime;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -261,7 +262,8 @@
     fn handle(&mut self, host: usize, event: HostEvent) {
         let kind = event_kind(&event);
         let mut out = Vec::new();
-        let start = Instant::now();
+        // Thread time leaves out the time in which other processes have the processor.
+        let start = ThreadTime::now();
         self.hosts[host].handle(self.now, event, &mut self.rngs[host], &mut out);
         let time = start.elapsed();
         if let Some(tally) = self.tally.as_mut().filter(|_| host == 0) {
