Handle inputs of the host actor in the order of posting

Cause: the mailbox of xtra gives no order to waiting messages, so a hangup could overtake its call, and a lost connection its last messages. Found when several deliveries of a connection waited there.

--- a/yuccahoist/src/actor.rs
+++ b/yuccahoist/src/actor.rs
@@ -1,13 +1,13 @@
 //! Host actor: owns the state machine of the host and the calls that wait for it.
 //!
 //! I/O tasks send it events. It hands each event to the state machine and the resulting actions to an [`Effects`]
-//! object, which starts the I/O and never waits for it. The mailbox has no limit of its own; what enters it is limited
+//! object, which starts the I/O and never waits for it. The queue has no limit of its own; what enters it is limited
 //! where it arises: open calls by the caller interface, messages by the window of each peer connection, results of
 //! platform calls by the calls that the state machine asked for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::FutureExt;
 use rand_chacha::ChaCha8Rng;
@@ -89,6 +89,17 @@
         Self { machine, clock, rng, effects, metrics, calls, actions, back }
     }
 
+    fn handle_input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.handle_event(event),
+            Input::Events(events) => events.into_iter().for_each(|event| self.handle_event(event)),
+            Input::Open { call, reply, event } => {
+                self.calls.insert(call, reply);
+                self.handle_event(event);
+            }
+        }
+    }
+
     fn handle_event(&mut self, event: HostEvent) {
         self.step(event);
         while !self.back.is_empty() {
@@ -152,23 +163,65 @@
     async fn stopped(self) {}
 }
 
-impl Handler<Input> for HostActor {
+/// Inputs that wait for the actor, each with the place of its confirmation.
+type Queue = Mutex<VecDeque<(Input, Option<oneshot::Sender<()>>)>>;
+
+/// Tells the actor that inputs wait.
+struct Wake(Arc<Queue>);
+
+impl Handler<Wake> for HostActor {
     type Return = ();
 
-    async fn handle(&mut self, input: Input, _: &mut Context<Self>) {
-        match input {
-            Input::Event(event) => self.handle_event(event),
-            Input::Events(events) => events.into_iter().for_each(|event| self.handle_event(event)),
-            Input::Open { call, reply, event } => {
-                self.calls.insert(call, reply);
-                self.handle_event(event);
+    async fn handle(&mut self, Wake(queue): Wake, _: &mut Context<Self>) {
+        let inputs = std::mem::take(&mut *lock(&queue));
+        for (input, handled) in inputs {
+            self.handle_input(input);
+            if let Some(handled) = handled {
+                let _ = handled.send(());
             }
         }
     }
 }
 
-/// Puts a message into the mailbox of the host actor. Returns whether the actor is alive.
-pub fn post(host: &Address<HostActor>, input: Input) -> bool {
-    // The mailbox has no limit, so the first poll queues the message.
-    matches!(host.send(input).detach().now_or_never(), Some(Ok(_)))
+fn lock(queue: &Queue) -> MutexGuard<'_, VecDeque<(Input, Option<oneshot::Sender<()>>)>> {
+    queue.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sending end of the host actor's inputs, which are handled in the order of sending.
+///
+/// The mailbox of `xtra` gives no order to waiting messages. It therefore holds only a wake-up, and the inputs wait in a
+/// queue beside it.
+#[derive(Debug, Clone)]
+pub struct HostHandle {
+    queue: Arc<Queue>,
+    address: Address<HostActor>,
+}
+
+impl HostHandle {
+    /// Handle of the actor at an address.
+    #[must_use]
+    pub fn new(address: Address<HostActor>) -> Self {
+        Self { queue: Arc::default(), address }
+    }
+
+    /// Queues an input. Returns whether the actor is alive.
+    pub fn post(&self, input: Input) -> bool {
+        self.push(input, None)
+    }
+
+    /// Queues an input and waits until it is handled. Returns whether it was.
+    pub async fn deliver(&self, input: Input) -> bool {
+        let (sender, handled) = oneshot::channel();
+        self.push(input, Some(sender)) && handled.await.is_ok()
+    }
+
+    fn push(&self, input: Input, handled: Option<oneshot::Sender<()>>) -> bool {
+        let mut queue = lock(&self.queue);
+        let waiting = !queue.is_empty();
+        queue.push_back((input, handled));
+        drop(queue);
+        // The wake-up of the earlier input covers this one, too.
+        let alive = || self.address.send(Wake(Arc::clone(&self.queue))).detach().now_or_never();
+        if waiting { self.address.is_connected() } else { matches!(alive(), Some(Ok(_))) }
+    }
 }
--- a/yuccahoist/src/api/mod.rs
+++ b/yuccahoist/src/api/mod.rs
@@ -17,10 +17,9 @@
 use tokio::sync::{Semaphore, SemaphorePermit, oneshot};
 use warp::reply::Response;
 use warp::{Filter, Rejection};
-use xtra::Address;
 
 use self::reply::Problem;
-use crate::actor::{HostActor, Input, Reply, post};
+use crate::actor::{HostHandle, Input, Reply};
 use crate::clock::Clock;
 use crate::event::{HostEvent, HostStatus};
 use crate::front::CallId;
@@ -28,7 +27,7 @@
 /// State that all calls share.
 #[derive(Debug)]
 pub struct Api {
-    host: Address<HostActor>,
+    host: HostHandle,
     clock: Arc<dyn Clock>,
     body_limit: usize,
     calls: Semaphore,
@@ -39,11 +38,7 @@
 impl Api {
     /// Interface of a host.
     #[must_use]
-    pub fn new(
-        host: Address<HostActor>,
-        clock: Arc<dyn Clock>,
-        settings: &crate::settings::ListenSettings,
-    ) -> Self {
+    pub fn new(host: HostHandle, clock: Arc<dyn Clock>, settings: &crate::settings::ListenSettings) -> Self {
         Self {
             host,
             clock,
@@ -73,7 +68,7 @@
         let call = CallId(self.next.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
         let input = Input::Open { call, reply: reply(sender), event: event(call) };
-        post(&self.host, input).then_some(OpenCall { call, answer, host: &self.host, answered: false })
+        self.host.post(input).then_some(OpenCall { call, answer, host: &self.host, answered: false })
     }
 }
 
@@ -81,7 +76,7 @@
 struct OpenCall<'a, T> {
     call: CallId,
     answer: oneshot::Receiver<T>,
-    host: &'a Address<HostActor>,
+    host: &'a HostHandle,
     answered: bool,
 }
 
@@ -97,7 +92,7 @@
 impl<T> Drop for OpenCall<'_, T> {
     fn drop(&mut self) {
         if !self.answered {
-            post(self.host, Input::Event(HostEvent::Hangup { call: self.call }));
+            self.host.post(Input::Event(HostEvent::Hangup { call: self.call }));
         }
     }
 }
--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -17,9 +17,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::MissedTickBehavior;
-use xtra::{Address, Mailbox};
+use xtra::Mailbox;
 
-use crate::actor::{Effects, HostActor, Input, post};
+use crate::actor::{Effects, HostActor, HostHandle, Input};
 use crate::api::{self, Api};
 use crate::clock::{Clock, MonotonicClock};
 use crate::duty::Duty;
@@ -318,7 +318,8 @@
     let settings = daemon.settings;
     let clock: Arc<dyn Clock> = Arc::new(MonotonicClock::new());
     let own = settings.host.incarnation;
-    let (host, mailbox) = Mailbox::unbounded();
+    let (address, mailbox) = Mailbox::unbounded();
+    let host = HostHandle::new(address);
     let (links, opener) = PeerLinks::new();
     let (stopped, all_stopped) = oneshot::channel();
     let all_stopped = all_stopped.shared();
@@ -353,7 +354,7 @@
     let stop = async move {
         api.stopping();
         tokio::time::sleep(settings.listen.stop_delay).await;
-        post(&host, Input::Event(HostEvent::Stop));
+        host.post(Input::Event(HostEvent::Stop));
         let _ = close.send(());
         let _ = serving.await;
         let _ = all_stopped.await;
@@ -382,7 +383,7 @@
 
 fn spawn_links(
     opener: LinkOpener,
-    host: &Address<HostActor>,
+    host: &HostHandle,
     own: Incarnation,
     clock: &Arc<dyn Clock>,
 ) -> tokio::task::JoinHandle<()> {
@@ -390,27 +391,27 @@
     spawn_local(run_links(opener, Rc::new(context)))
 }
 
-async fn tick(host: Address<HostActor>, clock: Arc<dyn Clock>) {
+async fn tick(host: HostHandle, clock: Arc<dyn Clock>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         // Waits until it is handled, so that ticks of a busy host do not pile up.
         let event = HostEvent::Tick { wall: clock.wall() };
-        if host.send(Input::Event(event)).await.is_err() {
+        if !host.deliver(Input::Event(event)).await {
             return;
         }
     }
 }
 
-async fn poll_hosts(host: Address<HostActor>, list: Arc<dyn HostList>, poll: Duration) {
+async fn poll_hosts(host: HostHandle, list: Arc<dyn HostList>, poll: Duration) {
     let mut interval = tokio::time::interval(poll);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         match list.hosts().await {
             Ok(hosts) => {
-                if !post(&host, Input::Event(HostEvent::Hosts(hosts))) {
+                if !host.post(Input::Event(HostEvent::Hosts(hosts))) {
                     return;
                 }
             }
@@ -422,7 +423,7 @@
 /// Starts the I/O that the state machine asks for.
 struct DaemonEffects {
     io: Handle,
-    host: Address<HostActor>,
+    host: HostHandle,
     clock: Arc<dyn Clock>,
     platform: Platform,
     links: Option<PeerLinks>,
@@ -435,7 +436,7 @@
         let host = self.host.clone();
         self.io.spawn(async move {
             let event = work.await;
-            post(&host, Input::Event(event));
+            host.post(Input::Event(event));
         });
     }
 
--- a/yuccahoist/src/peer/link.rs
+++ b/yuccahoist/src/peer/link.rs
@@ -14,12 +14,11 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
-use xtra::Address;
 
 use super::frame::{Confirmations, FrameError, write_frame, write_hello};
 use super::wire::WireMessage;
 use super::{BATCH_LIMIT, MESSAGE_LIMIT, PeerMessage};
-use crate::actor::{HostActor, Input, post};
+use crate::actor::{HostHandle, Input};
 use crate::clock::Clock;
 use crate::event::HostEvent;
 use crate::id::Incarnation;
@@ -86,7 +85,7 @@
 #[derive(Debug)]
 pub struct LinkContext {
     /// Host actor.
-    pub host: Address<HostActor>,
+    pub host: HostHandle,
     /// Incarnation of this host.
     pub own: Incarnation,
     /// Clock for `until` and deadlines.
@@ -242,12 +241,12 @@
     }
 
     fn not_sent(&self, message: PeerMessage, context: &LinkContext) {
-        post(&context.host, Input::Event(HostEvent::PeerNotSent { to: self.to, message }));
+        context.host.post(Input::Event(HostEvent::PeerNotSent { to: self.to, message }));
     }
 
     fn lost(&self, error: &FrameError, context: &LinkContext) {
         log::warn!("connection to peer {} at {} lost: {error}", self.to, self.address);
-        post(&context.host, Input::Event(HostEvent::PeerLost { peer: self.to }));
+        context.host.post(Input::Event(HostEvent::PeerLost { peer: self.to }));
     }
 
     /// Connects and agrees on both incarnations.
--- a/yuccahoist/src/peer/server.rs
+++ b/yuccahoist/src/peer/server.rs
@@ -9,13 +9,12 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout};
-use xtra::Address;
 
 use super::frame::{FrameError, FrameReader, confirm};
 use super::link::WINDOW;
 use super::wire::{decode, decode_hello};
 use super::{ANY_PEER, BATCH_LIMIT, MESSAGE_LIMIT};
-use crate::actor::{HostActor, Input, post};
+use crate::actor::{HostHandle, Input};
 use crate::clock::Clock;
 use crate::event::HostEvent;
 use crate::id::Incarnation;
@@ -39,7 +38,7 @@
 #[derive(Debug)]
 pub struct ServerContext {
     /// Host actor.
-    pub host: Address<HostActor>,
+    pub host: HostHandle,
     /// Incarnation of this host.
     pub own: Incarnation,
     /// Clock for deadlines.
@@ -52,7 +51,7 @@
 impl ServerContext {
     /// Context of a host.
     #[must_use]
-    pub fn new(host: Address<HostActor>, own: Incarnation, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(host: HostHandle, own: Incarnation, clock: Arc<dyn Clock>) -> Self {
         Self { host, own, clock, newest: RefCell::default(), open: Cell::default() }
     }
 
@@ -60,14 +59,14 @@
     /// its loss is not reported after messages of the new one.
     fn opened(&self, sender: Incarnation, number: u64) {
         if self.newest.borrow_mut().insert(sender, number).is_some() {
-            post(&self.host, Input::Event(HostEvent::PeerLost { peer: sender }));
+            self.host.post(Input::Event(HostEvent::PeerLost { peer: sender }));
         }
     }
 
     fn closed(&self, sender: Incarnation, number: u64) {
         if self.newest.borrow().get(&sender) == Some(&number) {
             self.newest.borrow_mut().remove(&sender);
-            post(&self.host, Input::Event(HostEvent::PeerLost { peer: sender }));
+            self.host.post(Input::Event(HostEvent::PeerLost { peer: sender }));
         }
     }
 }
@@ -184,8 +183,9 @@
         }
         let from = self.sender;
         let events = messages.into_iter().map(|message| HostEvent::Peer { from, message });
-        let sent = self.context.host.send(Input::Events(events.collect()));
-        sent.await.map_err(|_| FrameError::Ended)?;
+        if !self.context.host.deliver(Input::Events(events.collect())).await {
+            return Err(FrameError::Ended);
+        }
         self.handled += count;
         failed.map_or(Ok(()), |error| Err(error.into()))
     }
