--- a/yuccahoist_bench/src/control/world.rs
+++ b/yuccahoist_bench/src/control/world.rs
@@ -295,7 +295,7 @@
                 self.plan(SERVICE, Item::Event(host, Box::new(event)));
             }
             HostAction::Respond { outcome, .. } => {
-                self.count(host, &format!("caller {}", outcome.as_str()), || 0)
+                self.count(host, &format!("caller {}", outcome.as_str()), || 0);
             }
             HostAction::JobReply { .. }
             | HostAction::StatusReply { .. }
