--- a/yuccahoist/src/job/coordinator.rs
+++ b/yuccahoist/src/job/coordinator.rs
@@ -151,6 +151,7 @@
     }
 
     /// x
+    #[must_use]
     pub fn dump(&self, job: &JobId) -> String {
         format!(
             "{:?} SHARDS {:?} ROOMS {:?} PENDING {:?}",
