--- a/yuccahoist/tests/host_faults/checks.rs
+++ b/yuccahoist/tests/host_faults/checks.rs
@@ -83,7 +83,7 @@
         // Calls with one id and body share their runs, so only the absence of any run can be checked for them.
         for (key, calls) in calls {
             let refused = |call: &&Call| matches!(call.outcomes.as_slice(), [(_, Outcome::NotRun(_))]);
-            if calls.iter().all(|call| refused(&call)) && runs.contains_key(&key) {
+            if calls.iter().all(refused) && runs.contains_key(&key) {
                 found.push(format!("I4: {} ran although all its callers were told not-run", key.0));
             }
         }
