Plan a gang again before it waits, and preempt fewer tasks

The plan had no other rack, so the gang reported a wait and backed off although most racks were empty. Change: a refusal corrects the estimate and the gang plans again at once, at most 8 times a round; a gang whose reservations are under way reports no wait.

Change: a throttle plan is looked for first, over all victims, then the fewest tasks to stop.

--- a/yuccahoist/src/job/coordinator/gang.rs
+++ b/yuccahoist/src/job/coordinator/gang.rs
@@ -11,13 +11,15 @@
 use super::table::doubled;
 use super::{Coordinator, Pending, Turn};
 use crate::id::{JobId, ShardId, TaskIndex, WorkerId};
-use crate::job::{ShardRequestBody, WaitReason};
+use crate::job::{CoordinatorAction, ShardRequestBody, WaitReason};
 use crate::unit::Timestamp;
 
 /// Time within which all reservations of a gang must succeed; below the length of a reservation with its delivery.
 const GANG_LIMIT: Duration = Duration::from_millis(900);
 /// First wait after a failed round; doubles with each failure and varies by half.
 const BACKOFF: Duration = Duration::from_millis(100);
+/// Plans of one round: each refusal corrects the estimate of a shard, so that the next plan is better.
+const PLANS: u32 = 8;
 /// Longest wait after a failed round.
 const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
 
@@ -30,6 +32,8 @@
     held: Vec<Held>,
     /// Time of the first reservation.
     started: Timestamp,
+    /// Plans made in this round.
+    plans: u32,
 }
 
 #[derive(Debug)]
@@ -63,9 +67,10 @@
             return Some(WaitReason::GangIncomplete);
         };
         let started = turn.now;
-        self.jobs.get_mut(id)?.gang = Some(GangPlan { left, held: Vec::new(), started });
+        self.jobs.get_mut(id)?.gang = Some(GangPlan { left, held: Vec::new(), started, plans: 1 });
         self.ask_next(turn, id);
-        Some(WaitReason::GangIncomplete)
+        // A gang whose reservations are under way does not wait for room; a round that fails notes the reason.
+        self.jobs.get(id)?.reason.clone()
     }
 
     /// Shards in order with the tasks expected to fit, in as few racks as possible.
@@ -75,7 +80,7 @@
         let mut rooms: Vec<_> = self
             .shards
             .iter()
-            .filter(|(_, view)| view.has_room(now, need))
+            .filter(|(_, view)| view.has_room(now, need) || view.is_capped(now, need))
             .map(|(shard, view)| (view.expected(now, need), shard.clone()))
             .filter(|(room, _)| *room > 0)
             .collect();
@@ -116,7 +121,7 @@
             Some((shard, room)) if rest >= waiting => {
                 self.reserve_members(turn, id, shard, room.min(waiting));
             }
-            _ => self.abort_gang(turn, id),
+            _ => self.plan_again(turn, id),
         }
     }
 
@@ -149,24 +154,60 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(plan) = job.gang.take() else { return };
         job.gang_rounds = 0;
+        job.reason = None;
         for held in plan.held {
             self.commit(turn, held.pending, held.number, &held.placed);
         }
     }
 
+    /// Releases all reservations and follows another plan at once; without one the gang backs off.
+    fn plan_again(&mut self, turn: &mut Turn<'_>, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(plan) = &job.gang else { return };
+        let (started, plans) = (plan.started, plan.plans + 1);
+        if plans > PLANS || job.is_ending() {
+            self.abort_gang(turn, id);
+            return;
+        }
+        self.release_gang(turn, id);
+        match (self.plan(turn.now, id), self.jobs.get_mut(id)) {
+            (Some(left), Some(job)) => {
+                job.gang = Some(GangPlan { left, held: Vec::new(), started, plans });
+                self.ask_next(turn, id);
+            }
+            _ => self.back_off(turn, id),
+        }
+    }
+
     /// Releases all reservations of a gang; it backs off.
     pub(super) fn abort_gang(&mut self, turn: &mut Turn<'_>, id: &JobId) {
+        if self.release_gang(turn, id) {
+            self.back_off(turn, id);
+        }
+    }
+
+    fn back_off(&mut self, turn: &mut Turn<'_>, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let Some(plan) = job.gang.take() else { return };
         job.gang_rounds += 1;
         let wait = doubled(BACKOFF, job.gang_rounds, BACKOFF_LIMIT);
         let wait = wait.mul_f64(turn.rng.random_range(0.5..1.5));
         job.wait_until = turn.now + wait;
+        if job.reason != Some(WaitReason::GangIncomplete) && !job.is_ending() {
+            let reason = WaitReason::GangIncomplete;
+            turn.out.push(CoordinatorAction::Decision { job: id.clone(), text: reason.to_string() });
+            job.reason = Some(reason);
+        }
+    }
+
+    /// Gives up the plan of a gang with its reservations; false when there is none.
+    fn release_gang(&mut self, turn: &mut Turn<'_>, id: &JobId) -> bool {
+        let Some(plan) = self.jobs.get_mut(id).and_then(|job| job.gang.take()) else { return false };
         for held in plan.held {
             let Pending { partition, shard, .. } = &held.pending;
             self.send(turn, *partition, shard, ShardRequestBody::Release { reservation: held.number });
             let indices: Vec<_> = held.placed.keys().copied().collect();
             self.give_back(&held.pending, &indices);
         }
+        true
     }
 }
--- a/yuccahoist/src/job/coordinator/schedule.rs
+++ b/yuccahoist/src/job/coordinator/schedule.rs
@@ -130,8 +130,11 @@
             return Some(WaitReason::Recovering);
         }
         if turn.now < job.wait_until {
-            let reason = if job.suspended { WaitReason::Suspended } else { WaitReason::EarlierAttempt };
-            return Some(reason);
+            return Some(match () {
+                () if job.suspended => WaitReason::Suspended,
+                () if job.gang_rounds > 0 => WaitReason::GangIncomplete,
+                () => WaitReason::EarlierAttempt,
+            });
         }
         self.never(job)
     }
--- a/yuccahoist/src/job/coordinator/shards.rs
+++ b/yuccahoist/src/job/coordinator/shards.rs
@@ -62,6 +62,13 @@
         copies(need, self.room.total).min(cap)
     }
 
+    /// Whether it is known how many tasks of this size fit, and some do.
+    pub fn is_capped(&self, now: Timestamp, need: Resources) -> bool {
+        self.owner.is_some()
+            && need.fits(self.room.largest)
+            && self.caps.iter().any(|(size, count, until)| now < *until && *size == need && *count > 0)
+    }
+
     /// Notes that no more than `count` tasks of this size fitted, because free capacity is spread over workers.
     pub fn cap(&mut self, now: Timestamp, need: Resources, count: u32) {
         self.caps.retain(|(size, _, until)| now < *until && *size != need);
--- a/yuccahoist/src/placement/owner/preempt.rs
+++ b/yuccahoist/src/placement/owner/preempt.rs
@@ -117,31 +117,70 @@
     if !order.resources.fits(worker.spec.capacity) {
         return None;
     }
-    let mut victims: Vec<_> = worker.held.iter().filter(|(_, held)| yields(held, order)).collect();
-    // Lowest priority first, then the most recently started.
-    victims.sort_by_key(|(_, held)| (held.start.priority, std::cmp::Reverse(held.settled)));
-    let mut left = charged + order.resources;
-    let mut throttled_left = left;
+    let victims: Vec<_> = worker.held.iter().filter(|(_, held)| yields(held, order)).collect();
+    let spare = worker.spec.capacity;
+    let sum = charged + order.resources;
+    let throttled = choose(now, &victims, sum, spare, true);
+    let throttle = throttled.is_some();
+    let chosen = throttled.or_else(|| choose(now, &victims, sum, spare, false))?;
+    let highest = chosen.iter().map(|(_, held)| held.start.priority.0).max().unwrap_or_default();
+    let victims: Vec<_> = chosen.into_iter().map(|(key, _)| key.clone()).collect();
+    Some(((highest, !throttle, victims.len()), Plan { victims, throttle }))
+}
+
+/// Victims that bring the sum within the capacity: lowest priority first, then as few as possible, then the most
+/// recently started.
+fn choose<'a>(
+    now: Timestamp,
+    victims: &[(&'a Key, &'a Held)],
+    sum: Resources,
+    capacity: Resources,
+    throttle: bool,
+) -> Option<Vec<(&'a Key, &'a Held)>> {
+    let freed = |held: &Held| if throttle { saved(now, held) } else { held.charge() };
+    let over = |left: Resources| {
+        let part = |size: u64, capacity: u64| size.saturating_sub(capacity) * 1_000 / capacity.max(1);
+        let accelerators = part(u64::from(left.accelerators.0), u64::from(capacity.accelerators.0));
+        part(left.cpu.0, capacity.cpu.0) + part(left.memory.0, capacity.memory.0) + accelerators
+    };
+    let mut left = sum;
+    let mut rest: Vec<_> =
+        victims.iter().copied().filter(|(_, held)| freed(held) != Resources::ZERO).collect();
     let mut chosen = Vec::new();
-    for (key, held) in victims {
-        if left.fits(worker.spec.capacity) || throttled_left.fits(worker.spec.capacity) {
-            break;
-        }
-        left -= held.charge();
-        // A throttle that overtakes the start of its task has no effect.
-        if held.state == TaskState::Running && now >= held.settled {
-            let freed = held.charge().cpu.saturating_sub(throttled(held).cpu);
-            throttled_left -= Resources { cpu: freed, ..Resources::ZERO };
+    while !left.fits(capacity) {
+        // Among those that end the excess, the smallest is enough.
+        let next = rest.iter().enumerate().min_by_key(|(_, (_, held))| {
+            let freed = freed(held);
+            let after = left.saturating_sub(freed);
+            (held.start.priority, over(after), freed.cpu, std::cmp::Reverse(held.settled))
+        })?;
+        let position = next.0;
+        let victim = rest.swap_remove(position);
+        left = left.saturating_sub(freed(victim.1));
+        chosen.push(victim);
+    }
+    // A later, larger victim can make an earlier one needless.
+    let mut position = 0;
+    while position < chosen.len() {
+        let without = left + freed(chosen[position].1);
+        if without.fits(capacity) {
+            left = without;
+            chosen.remove(position);
+        } else {
+            position += 1;
         }
-        chosen.push((key.clone(), held.start.priority.0));
     }
-    let throttle = throttled_left.fits(worker.spec.capacity);
-    if !throttle && !left.fits(worker.spec.capacity) {
-        return None;
+    Some(chosen)
+}
+
+/// What a throttle of a task frees; nothing while its start is under way, because a throttle that overtakes the start
+/// has no effect.
+fn saved(now: Timestamp, held: &Held) -> Resources {
+    if held.state != TaskState::Running || now < held.settled {
+        return Resources::ZERO;
     }
-    let highest = chosen.iter().map(|(_, priority)| *priority).max().unwrap_or_default();
-    let victims: Vec<_> = chosen.into_iter().map(|(key, _)| key).collect();
-    Some(((highest, !throttle, victims.len()), Plan { victims, throttle }))
+    let cpu = held.charge().cpu.saturating_sub(throttled(held).cpu);
+    Resources { cpu, ..Resources::ZERO }
 }
 
 /// Whether an attempt has to leave for an order.
--- a/yuccahoist/tests/fleet/mod.rs
+++ b/yuccahoist/tests/fleet/mod.rs
@@ -217,6 +217,8 @@
     /// Factor in eighths by which tasks use more or less than declared; drawn up to this.
     pub usage: u64,
     pub appends: Vec<Timestamp>,
+    /// Decisions of the coordinators.
+    pub decisions: Vec<(JobId, String)>,
     faults: Faults,
     settings: CoordinatorSettings,
     messages: BTreeMap<(Timestamp, u64), Message>,
@@ -265,6 +267,7 @@
             runtime: 8_000,
             usage: 8,
             appends: Vec::new(),
+            decisions: Vec::new(),
             faults,
             settings,
             messages: BTreeMap::new(),
@@ -387,7 +390,8 @@
                 let hold = until.since(self.now).min(Duration::from_millis(100));
                 self.post(&Message::Request { from, to, request }, hold);
             }
-            CoordinatorAction::Send { .. } | CoordinatorAction::Decision { .. } => {}
+            CoordinatorAction::Decision { job, text } => self.decisions.push((job, text)),
+            CoordinatorAction::Send { .. } => {}
         }
     }
 
--- a/yuccahoist/tests/job_cases.rs
+++ b/yuccahoist/tests/job_cases.rs
@@ -102,6 +102,24 @@
     }
 }
 
+/// Guards against a gang that waits because the rack with the least room has it in pieces, while other racks are empty.
+#[test]
+fn gang_with_room_does_not_wait() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed, 3, 2, &[], Faults::default());
+        fleet.run_to(105);
+        // Leaves 7 cores on each worker of a rack: enough for the gang in sum, but for no member of it.
+        fleet.submit(job("pieces", "team-0", JobKind::Batch, 4, CORES(9)));
+        fleet.run_to(106);
+        fleet.submit(job("gang", "team-0", JobKind::Gang, 3, CORES(8)));
+        fleet.run_to(107);
+        assert!(started(&fleet, "gang", 2).is_some(), "seed {seed}");
+        let waits = fleet.decisions.iter().find(|(job, text)| job.as_str() == "gang" && text.contains("room"));
+        assert_eq!(waits, None, "seed {seed}");
+        assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// Guards against a gang whose coordinator dies between its commits: it must run as a whole, and nothing stays reserved.
 #[test]
 fn coordinator_that_dies_within_a_gang_leaves_nothing() {
--- a/yuccahoist_bench/src/packing/product.rs
+++ b/yuccahoist_bench/src/packing/product.rs
@@ -1,4 +1,4 @@
-//! Coordinator and shard owner themselves, on a full fleet of immediate workers.
+//! Coordinator and shard owner themselves, on a full fleet. Checkpoints take time and some fail.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -32,6 +32,10 @@
 const APPEND: Duration = Duration::from_millis(20);
 /// Urgent jobs.
 const URGENT: usize = 100;
+/// Longest time that a task needs to save its state, milliseconds; some exceed the time that preemption gives them.
+const CHECKPOINT_MS: u64 = 800;
+/// Part of the tasks that cannot save their state: one in this many.
+const CHECKPOINT_FAILS: u32 = 10;
 /// Target for the start of urgent work, milliseconds.
 const TARGET_MS: f64 = 1_300.0;
 
@@ -54,6 +58,8 @@
     pub max_ms: f64,
     /// Tasks stopped by preemption.
     pub stopped: usize,
+    /// Tasks stopped before their state was saved.
+    pub unsaved: usize,
     /// Tasks throttled by preemption.
     pub throttled: usize,
     /// Processor time of tasks that were stopped without saving their state, seconds.
@@ -75,8 +81,8 @@
         )?;
         writeln!(
             f,
-            "  preemption: {} stopped, {} throttled, lost {:.1} of {:.0} core-seconds",
-            self.stopped, self.throttled, self.lost_s, self.batch_s
+            "  preemption: {} stopped, {} of them unsaved, {} throttled, lost {:.1} of {:.0} core-seconds",
+            self.stopped, self.unsaved, self.throttled, self.lost_s, self.batch_s
         )?;
         writeln!(f, "  overcommitted workers: {}", self.violations)
     }
@@ -89,6 +95,8 @@
     cpu: CpuMillis,
     began: Timestamp,
     end: Timestamp,
+    /// Time at which its state is saved and it stops.
+    saved: Option<Timestamp>,
 }
 
 #[derive(Debug)]
@@ -186,6 +194,7 @@
             p99_ms: 0.0,
             max_ms: 0.0,
             stopped: 0,
+            unsaved: 0,
             throttled: 0,
             lost_s: 0.0,
             batch_s: 0.0,
@@ -305,7 +314,7 @@
                 self.started.entry(start.task.job.clone()).or_insert(now);
                 let key = (start.task.clone(), start.attempt);
                 let (state, cpu) = (WorkerTaskState::Running, start.resources.cpu);
-                tasks.insert(key, Task { start, state, cpu, began: now, end: now + run });
+                tasks.insert(key, Task { start, state, cpu, began: now, end: now + run, saved: None });
                 if !self.given(worker).fits(self.capacity[worker]) {
                     self.report.violations += 1;
                 }
@@ -316,11 +325,17 @@
                     else {
                         continue;
                     };
+                    if checkpoint {
+                        let fails = self.rng.random_ratio(1, CHECKPOINT_FAILS);
+                        let time = Duration::from_millis(self.rng.random_range(20..CHECKPOINT_MS));
+                        let saved = if fails { Timestamp::MAX } else { now + time };
+                        task.saved.get_or_insert(saved);
+                        continue;
+                    }
                     task.state = WorkerTaskState::Stopped;
                     self.report.stopped += 1;
-                    if !checkpoint {
-                        self.report.lost_s += spent(task, now);
-                    }
+                    self.report.unsaved += 1;
+                    self.report.lost_s += spent(task, now);
                     self.report.batch_s += spent(task, now);
                 }
             }
@@ -352,7 +367,14 @@
             }
             self.now = next;
             for task in self.tasks.values_mut().flat_map(BTreeMap::values_mut) {
-                if task.state == WorkerTaskState::Running && task.end <= next {
+                if task.state != WorkerTaskState::Running {
+                    continue;
+                }
+                if task.saved.is_some_and(|saved| saved <= next) {
+                    task.state = WorkerTaskState::Stopped;
+                    self.report.stopped += 1;
+                    self.report.batch_s += spent(task, next);
+                } else if task.end <= next {
                     task.state = WorkerTaskState::Succeeded;
                     self.report.batch_s += spent(task, next);
                 }
