--- a/yuccahoist/src/host/mod.rs
+++ b/yuccahoist/src/host/mod.rs
@@ -1,7 +1,7 @@
 //! Composition of all duties into the state machine of one entry host.
 //!
 //! [`Host`] takes what the I/O tasks report and returns what they have to do. Inside, the duties talk by events. What
-//! one duty asks of another, or of the same host in another role, is queued as a [`Step`] and handled before `handle`
+//! one duty asks of another, or of the same host in another role, is queued as a `Step` and handled before `handle`
 //! returns, so a request whose owner is this host never leaves the process.
 
 mod control;
--- a/yuccahoist/tests/job_cases.rs
+++ b/yuccahoist/tests/job_cases.rs
@@ -114,12 +114,31 @@
         fleet.submit(job("gang", "team-0", JobKind::Gang, 3, CORES(8)));
         fleet.run_to(107);
         assert!(started(&fleet, "gang", 2).is_some(), "seed {seed}");
-        let waits = fleet.decisions.iter().find(|(job, text)| job.as_str() == "gang" && text.contains("room"));
+        let waits =
+            fleet.decisions.iter().find(|(job, text)| job.as_str() == "gang" && text.contains("room"));
         assert_eq!(waits, None, "seed {seed}");
         assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
 
+/// Guards against urgent work that stops tasks although throttling more of them makes the same room.
+#[test]
+fn urgent_work_throttles_before_it_stops() {
+    let mut fleet = Fleet::new(1, 3, 2, &[], Faults::default());
+    fleet.runtime = 100_000_000;
+    fleet.run_to(105);
+    fleet.submit(job("small", "team-0", JobKind::Batch, 192, CORES(1)));
+    fleet.run_to(120);
+    assert_eq!(fleet.running("small"), 192);
+    let mut urgent = job("urgent", "team-1", JobKind::Batch, 1, CORES(8));
+    urgent.priority = Priority(9);
+    fleet.submit(urgent);
+    fleet.run_to(123);
+    assert_eq!(fleet.running("urgent"), 1);
+    assert_eq!(fleet.running("small"), 192);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
 /// Guards against a gang whose coordinator dies between its commits: it must run as a whole, and nothing stays reserved.
 #[test]
 fn coordinator_that_dies_within_a_gang_leaves_nothing() {
--- a/yuccahoist_bench/src/packing.rs
+++ b/yuccahoist_bench/src/packing.rs
@@ -81,6 +81,14 @@
     pub gangs_first: usize,
     /// Trials in which work with accelerators was the first to wait.
     pub accelerated_first: usize,
+    /// Median number of tasks that failed on sick workers in a trial.
+    pub sick_failures: f64,
+    /// Median processor time that sick workers took in a trial, core-seconds.
+    pub sick_lost_s: f64,
+    /// Median share of the sick workers that were isolated in a trial.
+    pub sick_isolated: f64,
+    /// Healthy workers isolated in all trials.
+    pub healthy_isolated: usize,
 }
 
 impl fmt::Display for Report {
@@ -101,6 +109,19 @@
                 row.accelerated_first,
             )?;
         }
+        writeln!(f, "workers policy     sick-failures  lost core-s  sick-isolated  healthy-isolated")?;
+        for row in &self.packing {
+            writeln!(
+                f,
+                "{:>7} {:<10} {:>13.0} {:>12.1} {:>13.0}% {:>17}",
+                row.workers,
+                row.policy,
+                row.sick_failures,
+                row.sick_lost_s,
+                row.sick_isolated * 100.0,
+                row.healthy_isolated,
+            )?;
+        }
         writeln!(f, "workers decision             p50 us   p99 us")?;
         for row in &self.decisions {
             writeln!(f, "{:>7} {:<20} {:>7.2} {:>8.2}", row.workers, row.name, row.p50_us, row.p99_us)?;
@@ -145,6 +166,10 @@
         twentieth_wait: median(|outcome| outcome.twentieth),
         gangs_first: outcomes.iter().filter(|outcome| outcome.gang).count(),
         accelerated_first: outcomes.iter().filter(|outcome| outcome.accelerated).count(),
+        sick_failures: median(|outcome| outcome.sick_failures),
+        sick_lost_s: median(|outcome| outcome.sick_lost_s),
+        sick_isolated: median(|outcome| outcome.sick_isolated),
+        healthy_isolated: outcomes.iter().map(|outcome| outcome.healthy_isolated).sum(),
     }
 }
 
@@ -156,6 +181,10 @@
     twentieth: f64,
     gang: bool,
     accelerated: bool,
+    sick_failures: f64,
+    sick_lost_s: f64,
+    sick_isolated: f64,
+    healthy_isolated: usize,
 }
 
 /// Task that runs.
@@ -178,6 +207,9 @@
     ends: BTreeSet<(u64, u64)>,
     reports: BTreeSet<(u64, u64)>,
     sick: BTreeSet<WorkerId>,
+    isolated: BTreeSet<WorkerId>,
+    sick_failures: u32,
+    sick_lost: u64,
     health: WorkerHealth,
     rng: ChaCha8Rng,
     now: u64,
@@ -212,6 +244,9 @@
             ends: BTreeSet::new(),
             reports: BTreeSet::new(),
             sick,
+            isolated: BTreeSet::new(),
+            sick_failures: 0,
+            sick_lost: 0,
             health,
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
             now: 0,
@@ -243,6 +278,11 @@
             }
             if waits == WAITS {
                 outcome.twentieth = self.granted();
+                outcome.sick_failures = f64::from(self.sick_failures);
+                outcome.sick_lost_s = self.sick_lost as f64 / 1_000.0;
+                let found = self.isolated.intersection(&self.sick).count();
+                outcome.sick_isolated = found as f64 / self.sick.len() as f64;
+                outcome.healthy_isolated = self.isolated.len() - found;
                 return outcome;
             }
         }
@@ -318,7 +358,11 @@
             self.refresh(task.slot);
             return;
         }
-        self.health.failed(now, &worker, job);
+        self.sick_failures += 1;
+        self.sick_lost += task.order.resources.cpu.0 * SICK_RUN;
+        if self.health.failed(now, &worker, job) {
+            self.isolated.insert(worker.clone());
+        }
         self.refresh(task.slot);
         let mut order = task.order;
         order.avoid.insert(worker);
