--- a/yuccahoist_bench/src/bin/experiment/main.rs
+++ b/yuccahoist_bench/src/bin/experiment/main.rs
@@ -1,9 +1,11 @@
 //! Experiments with the decision logic in model time.
 
 mod dissemination;
+mod packing;
 mod requests;
 
 use argh::FromArgs;
+use yuccahoist_bench::packing::PackingCommand;
 
 /// Experiments with the decision logic in model time.
 #[derive(Debug, FromArgs)]
@@ -18,6 +20,7 @@
 enum Experiment {
     Dissemination(dissemination::Options),
     Requests(requests::Options),
+    Packing(PackingCommand),
 }
 
 fn main() {
@@ -25,5 +28,6 @@
     match options.experiment {
         Experiment::Dissemination(options) => dissemination::run(&options),
         Experiment::Requests(options) => requests::run(&options),
+        Experiment::Packing(options) => packing::run(&options),
     }
 }
