Check the time limit when the connection asks for the body

Cause: the clock was checked before the HTTP client was called, which queues the request for the task of its connection. Change: the body is a stream that fails once the limit has passed, and the connection asks for it right before it writes.

--- a/yuccahoist/src/platform/http.rs
+++ b/yuccahoist/src/platform/http.rs
@@ -14,14 +14,17 @@
 
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
+use reqwest::header::CONTENT_LENGTH;
 use reqwest::{Client, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 
 use super::{BackendServer, CallError, DispatchBounds, HostList, HostState, WorkerPlatform, WorkerTable};
+use crate::clock::{Clock, MonotonicClock};
 use crate::id::WorkerId;
 use crate::placement::{Inventory, WorkerCommand};
 use crate::request::{Answer, Request};
 use crate::settings::PlatformSettings;
+use crate::unit::{Timestamp, WallTime};
 
 /// Header with the caller's request identifier.
 pub const REQUEST_ID: &str = "yuccahoist-request-id";
@@ -132,6 +135,29 @@
     Ok(body.freeze())
 }
 
+/// Body that is given out only until a time, on a clock that counts suspended time.
+///
+/// The task of the connection asks for the body immediately before it writes the head and the body together. A process
+/// that was paused while the request waited for that task therefore sends no whole request late.
+fn timed_body(request: RequestBuilder, body: Bytes, start_before: WallTime) -> RequestBuilder {
+    let length = body.len();
+    let clock = MonotonicClock::new();
+    let left = Duration::from_millis(start_before.as_millis().saturating_sub(clock.wall().as_millis()));
+    let body = futures::stream::once(async move {
+        if clock.now() < Timestamp::ZERO + left {
+            Ok(body)
+        } else {
+            Err(std::io::Error::new(
+                std::io::ErrorKind::TimedOut,
+                "the time limit of the dispatch has passed",
+            ))
+        }
+    });
+    let request = request.body(reqwest::Body::wrap_stream(body));
+    // Without a length, an empty body is complete only at its last chunk, which the body above gives.
+    if length == 0 { request } else { request.header(CONTENT_LENGTH, length) }
+}
+
 /// Backend servers by HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpBackendServer {
@@ -169,10 +195,8 @@
             .header(EPOCH, bounds.epoch.0)
             .header(START_BEFORE, bounds.start_before.as_millis())
             .header(RUN_LIMIT, u64::try_from(bounds.run_limit.as_millis()).unwrap_or(u64::MAX))
-            .timeout(bounds.run_limit.saturating_add(ANSWER_GRACE))
-            .body(request.body.clone())
-            .send()
-            .await;
+            .timeout(bounds.run_limit.saturating_add(ANSWER_GRACE));
+        let sent = timed_body(sent, request.body.clone(), bounds.start_before).send().await;
         let response = match sent {
             Ok(response) => response,
             Err(error) => return Err(call.failed(&error)),
