--- a/yuccahoist_standins/tests/http.rs
+++ b/yuccahoist_standins/tests/http.rs
@@ -90,6 +90,20 @@
     assert_eq!(worker.backends.record_of(&w1()).expect("known").runs.len(), 3);
 }
 
+/// Guards against a dispatch that waited in the client while its host was paused, and then starts late.
+#[tokio::test]
+async fn requests_past_their_time_limit_do_not_run() {
+    let worker = worker().await;
+    let client = HttpBackendServer::new(worker.table.clone(), &worker.settings).expect("client");
+    let late = DispatchBounds { start_before: WallTime::from_millis(0), ..bounds(3, 5_000) };
+    // The first request goes over a new connection, the others over a kept one.
+    for (body, bounds) in [("body", late), ("kept", bounds(3, 5_000)), ("body", late), ("", late)] {
+        let result = client.call(&w1(), &request(body), bounds).await;
+        assert_eq!(result.is_ok(), body == "kept", "{result:?}");
+    }
+    assert_eq!(worker.backends.record_of(&w1()).expect("known").runs.len(), 1);
+}
+
 /// Guards against a refused connection that counts as an unknown outcome and so blocks a retry.
 #[tokio::test]
 async fn refused_connections_are_not_sent() {
