--- /dev/null
+++ b/yuccahoist/src/dispatch/grants.rs
@@ -0,0 +1,100 @@
+//! Grants of shards: what may be sent, and when an epoch is quiescent.
+
+use std::collections::BTreeSet;
+
+use super::flight::finished;
+use super::{DispatchAction, Dispatcher, ForwardId, Shard};
+use crate::id::{Epoch, ShardId};
+use crate::ownership::{Grant, Share};
+use crate::request::{Outcome, Refusal};
+use crate::unit::Timestamp;
+
+impl Dispatcher {
+    pub(super) fn set_grant(
+        &mut self,
+        now: Timestamp,
+        id: &ShardId,
+        grant: &Grant,
+        out: &mut Vec<DispatchAction>,
+    ) {
+        let shard = self.shard(id);
+        let earlier = shard.grant.replace(grant.clone()).filter(|earlier| earlier.epoch != grant.epoch);
+        self.ending.remove(&grant.epoch);
+        if let Some(earlier) = earlier {
+            self.end_epoch(earlier.epoch, out);
+        }
+        self.pump(now, id, out);
+    }
+
+    pub(super) fn shard(&mut self, id: &ShardId) -> &mut Shard {
+        let policy = &self.policy;
+        self.shards.entry(id.clone()).or_insert_with(|| Shard {
+            grant: None,
+            queue: policy.empty(),
+            workers: BTreeSet::new(),
+        })
+    }
+
+    pub(super) fn lose_grant(&mut self, id: &ShardId, epoch: Epoch, out: &mut Vec<DispatchAction>) {
+        let Some(shard) = self.shards.get_mut(id) else {
+            return self.end_epoch(epoch, out);
+        };
+        if shard.grant.as_ref().is_some_and(|grant| grant.epoch == epoch) {
+            shard.grant = None;
+            self.refuse_waiting(id, out);
+        }
+        self.end_epoch(epoch, out);
+    }
+
+    pub(super) fn refuse_waiting(&mut self, id: &ShardId, out: &mut Vec<DispatchAction>) {
+        let waiting = self.waiting.iter().filter(|(_, waiting)| waiting.shard == *id);
+        let forwards: Vec<ForwardId> = waiting.map(|(forward, _)| *forward).collect();
+        for forward in forwards {
+            self.unqueue(forward);
+            out.push(finished(forward, Outcome::NotRun(Refusal::NotOwner)));
+        }
+    }
+
+    /// Reports an epoch as quiescent now or when its last request ends.
+    pub(super) fn end_epoch(&mut self, epoch: Epoch, out: &mut Vec<DispatchAction>) {
+        if self.active.contains_key(&epoch) {
+            self.ending.insert(epoch);
+        } else {
+            self.ending.remove(&epoch);
+            out.push(DispatchAction::Quiescent { epoch });
+        }
+    }
+
+    pub(super) fn end_if_quiescent(&mut self, epoch: Epoch, out: &mut Vec<DispatchAction>) {
+        let queued = self.stopping && self.shards.values().any(|shard| waits_under(shard, epoch));
+        if !queued && !self.active.contains_key(&epoch) {
+            self.end_epoch(epoch, out);
+        }
+    }
+
+    pub(super) fn stop(&mut self, out: &mut Vec<DispatchAction>) {
+        self.stopping = true;
+        let epochs = self.shards.values().filter_map(|shard| shard.grant.as_ref()).map(|grant| grant.epoch);
+        self.ending.extend(epochs.collect::<Vec<_>>());
+        self.end_stopped(out);
+    }
+
+    /// Reports the epochs of a stopping host that have nothing queued or in progress.
+    pub(super) fn end_stopped(&mut self, out: &mut Vec<DispatchAction>) {
+        if !self.stopping {
+            return;
+        }
+        for epoch in self.ending.clone() {
+            self.end_if_quiescent(epoch, out);
+        }
+    }
+}
+
+/// Grant under which something may be sent now.
+pub(super) fn usable_grant(shard: &Shard, now: Timestamp) -> Option<&Grant> {
+    shard.grant.as_ref().filter(|grant| now < grant.until && grant.share != Share::Nothing)
+}
+
+pub(super) fn waits_under(shard: &Shard, epoch: Epoch) -> bool {
+    !shard.queue.is_empty() && shard.grant.as_ref().is_some_and(|grant| grant.epoch == epoch)
+}
--- /dev/null
+++ b/yuccahoist/src/dispatch/view.rs
@@ -0,0 +1,62 @@
+//! Slots and workers of a shard as the queue policy and the fronts see them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::ewma::Ewma;
+use super::worker::Worker;
+use super::{DEFAULT_RUN_LIMIT, Dispatcher, LoadSummary, Shard, SlotView};
+use crate::id::{ServiceId, ShardId, WorkerId};
+use crate::ownership::{Grant, Share};
+use crate::request::Class;
+use crate::unit::Timestamp;
+
+impl Dispatcher {
+    pub(super) fn summary(&self, id: &ShardId, shard: &Shard, grant: &Grant, now: Timestamp) -> LoadSummary {
+        let usable = self.usable(shard, now);
+        let view = self.view(&usable, grant.share);
+        let physical: u32 = usable.iter().map(|worker| worker.free(grant.share)).sum();
+        let free = |class| if self.stopping { 0 } else { shard.queue.room(class, &view).min(physical) };
+        let wait =
+            |class| u32::try_from(shard.queue.wait(class, None, &view).as_millis()).unwrap_or(u32::MAX);
+        let services: BTreeSet<&ServiceId> =
+            usable.iter().filter(|_| !self.stopping).flat_map(|worker| &worker.spec.services).collect();
+        LoadSummary {
+            shard: id.clone(),
+            epoch: grant.epoch,
+            free: Class::ALL.into_iter().map(|class| (class, free(class))).collect(),
+            wait_ms: Class::ALL.into_iter().map(|class| (class, wait(class))).collect(),
+            services: services.into_iter().cloned().collect(),
+        }
+    }
+
+    /// Workers that may get new work. Failing ones are left out unless more than half of the shard's workers fail.
+    pub(super) fn usable(&self, shard: &Shard, now: Timestamp) -> Vec<&Worker> {
+        let offered = |id: &&WorkerId| !self.draining.contains(*id);
+        let workers: Vec<&Worker> = shard
+            .workers
+            .iter()
+            .filter(offered)
+            .filter_map(|id| self.workers.get(id))
+            .filter(|worker| worker.present)
+            .collect();
+        let failing = workers.iter().filter(|worker| worker.failing(now)).count();
+        if failing * 2 > workers.len() {
+            return workers;
+        }
+        workers.into_iter().filter(|worker| !worker.failing(now)).collect()
+    }
+
+    pub(super) fn view(&self, usable: &[&Worker], share: Share) -> SlotView {
+        let held = |class: Class| usable.iter().map(|worker| worker.held[class as usize]).sum();
+        SlotView {
+            capacity: usable.iter().map(|worker| worker.capacity(share)).sum(),
+            held: Class::ALL.map(held),
+            run: Class::ALL.map(|class| self.run.get(&class).and_then(Ewma::as_duration)),
+        }
+    }
+
+    pub(super) fn run_limit(&self, class: Class) -> Duration {
+        self.limits.classes.get(&class).map_or(DEFAULT_RUN_LIMIT, |limits| limits.run_limit)
+    }
+}
