--- /dev/null
+++ b/yuccahoist/src/daemon/effects.rs
@@ -0,0 +1,126 @@
+//! I/O that the state machine of a host asks for.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+use super::Platform;
+use crate::actor::{Effects, HostHandle, Input};
+use crate::clock::Clock;
+use crate::event::{HostAction, HostEvent};
+use crate::logging;
+use crate::peer::{Outgoing, PeerLinks};
+use crate::platform::CallError;
+use crate::unit::Timestamp;
+
+/// Starts the I/O that the state machine asks for.
+pub(super) struct DaemonEffects {
+    pub(super) io: Handle,
+    pub(super) host: HostHandle,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) platform: Platform,
+    pub(super) links: Option<PeerLinks>,
+    pub(super) stopped: Option<oneshot::Sender<()>>,
+    pub(super) decisions: bool,
+}
+
+impl DaemonEffects {
+    fn spawn(&self, work: impl Future<Output = HostEvent> + Send + 'static) {
+        let host = self.host.clone();
+        self.io.spawn(async move {
+            let event = work.await;
+            host.post(Input::Event(event));
+        });
+    }
+
+    fn send(&mut self, action: HostAction, back: &mut Vec<HostEvent>) {
+        let HostAction::Send { to, address, message, until } = action else { return };
+        let sent = match &mut self.links {
+            Some(links) => links.send(to, address, Outgoing { message, until }),
+            None => Err(Box::new(message)),
+        };
+        if let Err(message) = sent {
+            back.push(HostEvent::PeerNotSent { to, message: *message });
+        }
+    }
+
+    fn dispatch(&self, action: HostAction) {
+        let HostAction::Dispatch { forward, worker, request, bounds, until } = action else { return };
+        let backends = Arc::clone(&self.platform.backends);
+        let clock = Arc::clone(&self.clock);
+        self.spawn(async move {
+            let result = match late("request", &worker, clock.now(), until) {
+                Some(error) => Err(error),
+                None => backends.call(&worker, &request, bounds).await,
+            };
+            HostEvent::Backend { forward, result }
+        });
+    }
+
+    fn command(&self, action: HostAction) {
+        let HostAction::Command { worker, ticket, command, until } = action else { return };
+        let workers = Arc::clone(&self.platform.workers);
+        let clock = Arc::clone(&self.clock);
+        self.spawn(async move {
+            let result = match late("worker command", &worker, clock.now(), until) {
+                Some(error) => Err(error),
+                None => workers.command(&worker, command).await,
+            };
+            HostEvent::Worker { worker, ticket, result }
+        });
+    }
+
+    fn log(&self, action: HostAction) {
+        let log = Arc::clone(&self.platform.log);
+        match action {
+            HostAction::Read { stream, from, wait } => {
+                let clock = Arc::clone(&self.clock);
+                self.spawn(async move {
+                    let asked = clock.now();
+                    let result = log.read(stream, from, wait).await;
+                    HostEvent::Read { stream, asked, result }
+                });
+            }
+            HostAction::Append { stream, seq, record } => self.spawn(async move {
+                let result = log.append(stream, record).await;
+                HostEvent::Appended { stream, seq, result }
+            }),
+            _ => {}
+        }
+    }
+}
+
+/// Error of an action whose time has passed right before the write.
+fn late(step: &'static str, peer: &impl ToString, now: Timestamp, until: Timestamp) -> Option<CallError> {
+    (now > until).then(|| CallError::NotSent {
+        step,
+        peer: peer.to_string(),
+        reason: format!("its time limit {until} has passed at {now}"),
+    })
+}
+
+impl Effects for DaemonEffects {
+    fn carry_out(&mut self, _: Timestamp, action: HostAction, back: &mut Vec<HostEvent>) {
+        match action {
+            HostAction::Send { .. } => self.send(action, back),
+            HostAction::Dispatch { .. } => self.dispatch(action),
+            HostAction::Command { .. } => self.command(action),
+            HostAction::Read { .. } | HostAction::Append { .. } => self.log(action),
+            HostAction::Workers(workers) => self.platform.table.replace(workers),
+            HostAction::Decision(decision) if self.decisions => logging::decision(&decision),
+            HostAction::Decision(_) => {}
+            HostAction::Stopped => {
+                // Ends the connections once what is queued has been sent.
+                self.links = None;
+                if let Some(stopped) = self.stopped.take() {
+                    let _ = stopped.send(());
+                }
+            }
+            HostAction::Respond { .. } | HostAction::JobReply { .. } | HostAction::StatusReply { .. } => {
+                log::error!("an answer to a call reached the I/O tasks");
+            }
+        }
+    }
+}
