Add the shard owner and the platform adapter

Cause: the users' platform has queues of jobs on workers with leases, no disks and a log as its only store; nothing of the present hosts speaks to it. Added: the slice shard (owner of a service's queues as a state machine without I/O, host that relays or owns, ports to store, workers, recommendation and registry) and the crate platform, which decodes the platform's messages. Before: nothing runs there.

--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod platform;
 pub mod request;
 pub mod settings;
+pub mod shard;
 pub mod stream;
 pub mod unit;
--- a/yuccahoist/src/logging.rs
+++ b/yuccahoist/src/logging.rs
@@ -39,6 +39,21 @@
     });
 }
 
+/// Sends the lines of the `log` macros of this process to standard output, as JSON.
+///
+/// Has no effect when the process has a logger already.
+pub fn install_stdout() {
+    let sink = append::Stdout::default().with_layout(JsonLayout::default());
+    let logger = logforth::core::builder()
+        .dispatch(|dispatch| dispatch.filter(LevelFilter::MoreSevereEqual(Level::Info)).append(sink))
+        .build();
+    if log::set_boxed_logger(Box::new(LogBridge::new(logger))).is_err() {
+        log::debug!("the process has a logger already");
+        return;
+    }
+    log::set_max_level(log::LevelFilter::Info);
+}
+
 /// Writes one line for a decision.
 pub fn decision(decision: &HostDecision) {
     log::info!(target: "decision", "{}", Line(decision));
--- a/yuccahoist/src/placement/mod.rs
+++ b/yuccahoist/src/placement/mod.rs
@@ -12,7 +12,7 @@
 mod ledger;
 mod message;
 mod owner;
-mod policy;
+pub(crate) mod policy;
 mod reservation;
 
 pub use self::index::{Entry, Slot, WorkerIndex};
--- /dev/null
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -0,0 +1,100 @@
+//! Carries out the actions of the owner.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::sync::mpsc;
+
+use super::frame::Frame;
+use super::relay::tell;
+use super::{HostState, Input};
+use crate::shard::id::Epoch;
+use crate::shard::message::{Action, Event};
+use crate::shard::ports::{HoldOrder, StartOrder, StoreError};
+use crate::shard::record::Entry;
+use crate::unit::Timestamp;
+
+/// First pause before a write is repeated.
+const FIRST_PAUSE_MS: u64 = 40; // A few times the duration of a write.
+/// Longest pause before a write is repeated.
+const LONGEST_PAUSE_MS: u64 = 400; // Work goes on within half a second of the store's return.
+
+impl HostState {
+    pub(super) fn perform(&mut self, now: Timestamp, epoch: Epoch, action: Action) {
+        match action {
+            Action::Reply(call, answer) if call.link == 0 => self.answer(call.number, answer),
+            Action::Reply(call, answer) => {
+                let frame = Frame::Answer { number: call.number, answer };
+                if self.links.get(&call.link).is_some_and(|sender| !sender.send(frame)) {
+                    self.links.remove(&call.link);
+                }
+            }
+            Action::Append(entries) => {
+                if self.appends.as_ref().is_some_and(|appends| appends.try_send(entries).is_err()) {
+                    log::error!("a write was asked for while one is under way");
+                }
+            }
+            Action::Hold { life, address, deadline, last, wait } => {
+                let (workers, inbox) = (self.ports.workers.clone(), self.inbox.clone());
+                tokio::spawn(async move {
+                    let order = HoldOrder { life: life.clone(), address, deadline, last, wait };
+                    let result = workers.hold(epoch, order).await;
+                    tell(&inbox, Input::Owned(epoch, Event::Held(life, result))).await;
+                });
+            }
+            Action::Start { life, address, task, run, spec, deadline, saved, ticket } => {
+                let (workers, inbox) = (self.ports.workers.clone(), self.inbox.clone());
+                tokio::spawn(async move {
+                    let to = life.clone();
+                    let order = StartOrder { life: to, address, task, run, spec, deadline, saved, ticket };
+                    let result = workers.start(epoch, order).await;
+                    tell(&inbox, Input::Owned(epoch, Event::Started(task, run, life, result))).await;
+                });
+            }
+            Action::Stop { life, address, task, run } => {
+                let (workers, inbox) = (self.ports.workers.clone(), self.inbox.clone());
+                tokio::spawn(async move {
+                    let result = workers.stop(epoch, life.clone(), address, task, run).await;
+                    tell(&inbox, Input::Owned(epoch, Event::Stopped(task, run, life, result))).await;
+                });
+            }
+            Action::Advise { step, workers, cost } => self.advise(step, workers, cost),
+            Action::Deposed(epoch) => self.step_down(now, epoch, "a worker has seen a higher epoch"),
+        }
+    }
+
+    /// Task that writes the owner's batches, one at a time, until the store has them or has seen a higher epoch.
+    pub(super) fn appender(&mut self, epoch: Epoch) -> mpsc::Sender<Vec<Entry>> {
+        let (sender, mut batches) = mpsc::channel::<Vec<Entry>>(1);
+        let (store, inbox) = (self.ports.store.clone(), self.inbox.clone());
+        tokio::spawn(async move {
+            let mut sequence = 0;
+            while let Some(entries) = batches.recv().await {
+                sequence += 1;
+                let mut pause = FIRST_PAUSE_MS;
+                let mut down = false;
+                while let Err(error) = store.append(epoch, sequence, &entries).await {
+                    if let StoreError::Fenced { .. } = error {
+                        return tell(&inbox, Input::Fenced(epoch)).await;
+                    }
+                    if batches.is_closed() || inbox.is_closed() {
+                        return;
+                    }
+                    log::info!(target: "decision", "append epoch={epoch} sequence={sequence} outcome=repeat error={error}");
+                    if !down {
+                        down = true;
+                        tell(&inbox, Input::StoreState(false)).await;
+                    }
+                    let jitter = rand::rng().random_range(0..pause);
+                    tokio::time::sleep(Duration::from_millis(pause + jitter)).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE_MS);
+                }
+                if down {
+                    tell(&inbox, Input::StoreState(true)).await;
+                }
+                tell(&inbox, Input::Owned(epoch, Event::Stored)).await;
+            }
+        });
+        sender
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -0,0 +1,229 @@
+//! The part of a host that owns the shard: connections of other hosts, recommendations, taking over and giving up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::frame::Frame;
+use super::relay::tell;
+use super::{HostState, Input, PeerQuestion, Question, Won};
+use crate::shard::id::{Epoch, Life, StepKey};
+use crate::shard::message::{CallId, Event};
+use crate::shard::owner::{OwnerOptions, Restored};
+use crate::shard::ports::{Announcement, RegistryChange, Ticket};
+use crate::shard::record::Record;
+use crate::shard::spec::AdviceCost;
+use crate::shard::Owner;
+use crate::unit::Timestamp;
+
+/// Interval between reads of the registry.
+const REGISTRY: Duration = Duration::from_millis(350); // A draining worker may get tasks for 2 s after its report.
+/// Pause before a deposed owner campaigns again.
+const DEPOSED_PAUSE: Duration = Duration::from_millis(1_500); // Longer than its successor needs to take over.
+
+impl HostState {
+    pub(super) fn take_over(&mut self, now: Timestamp, won: Won) {
+        let epoch = won.ownership.epoch;
+        let mut restored = Restored::default();
+        let mut broken = 0;
+        for entry in &won.snapshot.entries {
+            match Record::try_from(entry) {
+                Ok(record) => restored.add(record),
+                Err(error) => {
+                    broken += 1;
+                    log::error!("{error}; the record is left out");
+                }
+            }
+        }
+        log::info!(
+            target: "decision",
+            "take-over epoch={epoch} records={} broken={broken} end={}",
+            won.snapshot.entries.len(),
+            won.snapshot.end
+        );
+        self.epoch = epoch;
+        self.announced = Some(Announcement { ownership: won.ownership.clone(), released: false });
+        self.link = None;
+        self.doubts = 0;
+        self.store = true;
+        let wall = self.ports.clock.wall().as_millis();
+        let options = OwnerOptions::new(won.ownership, self.settings.longest);
+        self.owner = Some(Owner::restore(options, restored, now, wall));
+        self.appends = Some(self.appender(epoch));
+        self.watch_registry(epoch);
+        for sender in self.links.values() {
+            // Hosts that are connected from before learn the epoch from the announcement.
+            if !sender.send(Frame::Pong { epoch, store: true }) {
+                log::debug!("a host's connection is closed");
+            }
+        }
+        self.send_all(now);
+    }
+
+    fn watch_registry(&self, epoch: Epoch) {
+        let (registry, inbox) = (self.ports.registry.clone(), self.inbox.clone());
+        let status = self.status.subscribe();
+        registry.restart();
+        tokio::spawn(async move {
+            loop {
+                match registry.changes().await {
+                    Ok(changes) => tell(&inbox, Input::Registry(epoch, changes)).await,
+                    Err(error) => log::info!("reading the registry failed: {error}"),
+                }
+                tokio::time::sleep(REGISTRY).await;
+                let current = status.borrow().clone();
+                if inbox.is_closed() || current.epoch > epoch || (current.epoch == epoch && !current.owner) {
+                    return;
+                }
+            }
+        });
+    }
+
+    pub(super) fn on_registry(&mut self, now: Timestamp, epoch: Epoch, changes: Vec<RegistryChange>) {
+        for change in changes {
+            let event = match change {
+                RegistryChange::Listed(entry) => Event::Worker(entry),
+                RegistryChange::Unlisted(id) => Event::WorkerGone(id),
+            };
+            self.owned(now, epoch, event);
+        }
+    }
+
+    /// Hands an event to the owner, if it is still that of `epoch`, and carries out what follows.
+    pub(super) fn owned(&mut self, now: Timestamp, epoch: Epoch, event: Event) {
+        let Some(owner) = self.owner.as_mut().filter(|o| o.epoch() == epoch) else { return };
+        let wall = self.ports.clock.wall().as_millis();
+        let mut actions = Vec::new();
+        owner.handle(now, wall, event, &mut actions);
+        for action in actions {
+            self.perform(now, epoch, action);
+        }
+    }
+
+    pub(super) fn step_down(&mut self, now: Timestamp, epoch: Epoch, reason: &str) {
+        if self.owner.as_ref().is_none_or(|o| o.epoch() != epoch) {
+            return;
+        }
+        log::warn!(target: "decision", "step-down epoch={epoch} reason={reason:?}");
+        self.owner = None;
+        self.appends = None;
+        self.questions.clear();
+        for sender in self.links.values() {
+            if !sender.send(Frame::NotOwner) {
+                log::debug!("a host's connection is closed");
+            }
+        }
+        self.links.clear();
+        self.campaign_after = now + DEPOSED_PAUSE;
+        self.cut_since = Some(now);
+    }
+
+    pub(super) fn on_inbound(&mut self, now: Timestamp, link: u64, frame: Frame) {
+        let epoch = self.epoch;
+        let Some(sender) = self.links.get(&link).cloned() else { return };
+        if self.owner.is_none() {
+            if !sender.send(Frame::NotOwner) {
+                log::debug!("a host's connection is closed");
+            }
+            self.links.remove(&link);
+            return;
+        }
+        match frame {
+            Frame::Ping => {
+                if !sender.send(Frame::Pong { epoch, store: self.store }) {
+                    self.links.remove(&link);
+                }
+            }
+            Frame::Call { number, request } => self.owned(now, epoch, Event::Call(CallId { link, number }, request)),
+            Frame::Advised { number, good } => {
+                if let Some(question) = self.questions.remove(&number) {
+                    self.owned(now, epoch, Event::Advised(question.step, question.asked, good));
+                }
+            }
+            other => log::trace!("host says {other:?}"),
+        }
+    }
+
+    pub(super) fn on_inbound_closed(&mut self, now: Timestamp, link: u64) {
+        self.links.remove(&link);
+        let lost: Vec<u64> = self.questions.iter().filter(|(_, q)| q.link == link).map(|(n, _)| *n).collect();
+        let epoch = self.epoch;
+        for number in lost {
+            if let Some(question) = self.questions.remove(&number) {
+                self.owned(now, epoch, Event::Advised(question.step, question.asked, None));
+            }
+        }
+    }
+
+    /// Sends a question to the host whose calls take the least time together.
+    pub(super) fn advise(&mut self, step: StepKey, asked: Vec<Life>, cost: AdviceCost) {
+        let workers: Vec<Arc<str>> = asked.iter().map(|life| life.id.clone()).collect();
+        let cost = cost.call(workers.len());
+        let busy = |link: u64| -> Duration {
+            self.questions.values().filter(|q| q.link == link).map(|q| q.cost).sum()
+        };
+        let best = self.links.keys().map(|link| (busy(*link), *link)).min();
+        if let Some((load, link)) = best
+            && load <= self.own_cost
+        {
+            self.numbers += 1;
+            let number = self.numbers;
+            let frame = Frame::Advise { number, step, workers: workers.clone() };
+            if self.links.get(&link).is_some_and(|sender| sender.send(frame)) {
+                self.questions.insert(number, PeerQuestion { link, step, asked, cost });
+                return;
+            }
+        }
+        self.own_cost += cost;
+        self.question(Question::Own { step, asked }, step, workers);
+    }
+
+    pub(super) fn question(&mut self, question: Question, step: StepKey, workers: Vec<Arc<str>>) {
+        if self.advice.send((question, step, workers, Duration::ZERO)).is_err() {
+            log::error!("the task that asks for recommendations has ended");
+        }
+    }
+
+    pub(super) fn on_advised(&mut self, now: Timestamp, question: Question, good: Option<Vec<Ticket>>) {
+        match question {
+            Question::Own { step, asked } => {
+                self.own_cost = Duration::ZERO;
+                let epoch = self.epoch;
+                self.owned(now, epoch, Event::Advised(step, asked, good));
+            }
+            Question::Peer { number } => {
+                if let Some(link) = &self.link
+                    && !link.sender.send(Frame::Advised { number, good })
+                {
+                    log::debug!("the connection to the owner is closed");
+                }
+            }
+        }
+    }
+
+    /// Gives the shard up once nothing is being written, when the host is stopping.
+    pub(super) fn try_stop(&mut self, now: Timestamp) {
+        if !self.leaving || self.stopping.is_none() {
+            return;
+        }
+        let idle = self.owner.as_ref().is_none_or(Owner::idle);
+        if !idle {
+            return;
+        }
+        let Some(done) = self.stopping.take() else { return };
+        let released = self.announced.clone().filter(|_| self.owner.is_some());
+        let epoch = self.epoch;
+        self.step_down(now, epoch, "the host is stopping");
+        let store = self.ports.store.clone();
+        tokio::spawn(async move {
+            if let Some(announcement) = released {
+                let announcement = Announcement { released: true, ..announcement };
+                if let Err(error) = store.announce(&announcement).await {
+                    log::warn!("the release was not announced: {error}");
+                }
+            }
+            if done.send(()).is_err() {
+                log::debug!("nobody waits for the release");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -0,0 +1,111 @@
+//! Requests of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Effect, Owner};
+use crate::shard::admission::{Load, UNSTORED};
+use crate::shard::id::JobKey;
+use crate::shard::job::Job;
+use crate::shard::message::{Answer, CallId, Refusal, Request};
+use crate::shard::message::Action;
+use crate::shard::record::JobState;
+use crate::shard::spec::JobSpec;
+use crate::unit::Timestamp;
+
+/// When to come back after a refusal that a change of owner or of the store ends.
+const RETURN: Duration = Duration::from_secs(1); // Retry-After counts whole seconds.
+
+impl Owner {
+    pub(super) fn on_call(&mut self, now: Timestamp, wall: u64, call: CallId, request: Request) {
+        match request {
+            Request::Submit(job, spec) => self.submit(now, wall, call, job, spec),
+            Request::Query(job) => {
+                let answer = match self.jobs.get(&job) {
+                    Some(found) => Answer::State(found.shown),
+                    None => self.unknown(now),
+                };
+                self.reply(call, answer);
+            }
+            Request::Cancel(job) => self.cancel(now, call, job),
+            Request::Count(queue) => {
+                let count = self.waiting.get(&queue).copied().unwrap_or(0);
+                self.reply(call, Answer::Waiting(count));
+            }
+        }
+    }
+
+    pub(super) fn reply(&mut self, call: CallId, answer: Answer) {
+        self.out.push(Action::Reply(call, answer));
+    }
+
+    /// Answer about a job that this owner does not know.
+    fn unknown(&self, now: Timestamp) -> Answer {
+        if self.fresh(now) { Answer::Unknown } else { Answer::Refused { cause: Refusal::NoOwner, retry: RETURN } }
+    }
+
+    fn submit(&mut self, now: Timestamp, wall: u64, call: CallId, key: JobKey, spec: Arc<JobSpec>) {
+        if let Some(job) = self.jobs.get(&key) {
+            if job.stored {
+                self.reply(call, Answer::Accepted);
+            } else {
+                self.batch.effects.push(Effect::Reply(call, Answer::Accepted));
+                self.batch.progress.insert(key);
+            }
+            return;
+        }
+        if let Some(fault) = spec.fault() {
+            log::info!(target: "decision", "submit job={key} outcome=invalid reason={fault:?}");
+            self.reply(call, Answer::Invalid(fault));
+            return;
+        }
+        if let Some((cause, retry)) = self.refusal() {
+            self.counters.refused += 1;
+            log::info!(target: "decision", "submit job={key} queue={} outcome=refused cause={cause:?}", spec.queue.name);
+            self.reply(call, Answer::Refused { cause, retry });
+            return;
+        }
+        self.counters.accepted += 1;
+        self.count_waiting(&spec.queue.name.clone(), 1);
+        log::info!(
+            target: "decision",
+            "submit job={key} queue={} steps={} objective_ms={} outcome=storing",
+            spec.queue.name,
+            spec.steps.len(),
+            spec.objective().as_millis()
+        );
+        self.jobs.insert(key, Job::new(spec, now, wall));
+        self.begin_due(now, wall, key);
+        self.batch.jobs.insert(key);
+        self.batch.progress.insert(key);
+        self.batch.effects.push(Effect::Reply(call, Answer::Accepted));
+        self.refresh_job(now, key);
+    }
+
+    fn refusal(&self) -> Option<(Refusal, Duration)> {
+        if !self.store || self.batch.jobs.len() >= UNSTORED {
+            return Some((Refusal::StoreDown, RETURN));
+        }
+        let cores = self.workers.values().filter(|w| w.missing.is_none()).map(|w| w.entry.capacity.cpu.0).sum();
+        let waiting = self.ranks.keys().filter_map(|s| self.jobs.get(&s.job)).map(|j| j.spec.work()).sum();
+        Load { waiting, cores }.refuse().map(|retry| (Refusal::Overload, retry))
+    }
+
+    fn cancel(&mut self, now: Timestamp, call: CallId, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            let answer = self.unknown(now);
+            self.reply(call, answer);
+            return;
+        };
+        if job.state.is_final() && job.state == job.shown {
+            self.reply(call, Answer::Cancelled);
+            return;
+        }
+        log::info!(target: "decision", "cancel job={key} state={} outcome=storing", job.state.as_str());
+        if !job.state.is_final() {
+            self.finish_job(now, key, JobState::Cancelled);
+        }
+        self.batch.progress.insert(key);
+        self.batch.effects.push(Effect::Reply(call, Answer::Cancelled));
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -0,0 +1,101 @@
+//! Batches: their encoding, and what follows once one is stored.
+
+use super::{Batch, Effect, Owner};
+use crate::shard::id::TaskName;
+use crate::shard::job::Phase;
+use crate::shard::message::Action;
+use crate::shard::record::{Entry, Record};
+use crate::shard::worker::Hold;
+use crate::unit::Timestamp;
+
+impl Owner {
+    /// Entries of a batch; without any change the ownership record serves as a heartbeat.
+    pub(super) fn encode(&mut self, batch: &Batch) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for key in &batch.jobs {
+            if let Some(job) = self.jobs.get(key) {
+                entries.push(Entry::from(&Record::Job(*key, job.spec.clone())));
+            }
+        }
+        for key in &batch.progress {
+            let Some(job) = self.jobs.get_mut(key) else { continue };
+            entries.push(Entry::from(&Record::Progress(*key, job.progress())));
+            if job.state.is_final() && job.live == 0 && !job.forgotten {
+                job.forgotten = true;
+                entries.push(Entry::from(&Record::Forget(*key)));
+            }
+        }
+        if entries.is_empty() {
+            entries.push(Entry::from(&Record::Owner(self.options.ownership.clone())));
+        }
+        entries
+    }
+
+    pub(super) fn on_stored(&mut self, now: Timestamp) {
+        let Some((batch, sent)) = self.flight.take() else { return };
+        self.confirmed = sent;
+        for key in &batch.jobs {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.stored = true;
+            }
+        }
+        self.apply(now, batch.effects);
+    }
+
+    pub(super) fn apply(&mut self, now: Timestamp, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Reply(call, answer) => self.reply(call, answer),
+                Effect::Show(key) => {
+                    if let Some(job) = self.jobs.get_mut(&key) {
+                        job.shown = job.state;
+                        log::info!(target: "decision", "job job={key} state={}", job.state.as_str());
+                    }
+                }
+                Effect::Start(task, run) => self.start(now, task, run),
+                Effect::Release(life, number) => {
+                    if let Some(worker) = self.workers.get_mut(&life) {
+                        worker.stored = worker.stored.max(number);
+                        if let Hold::Due(_) = worker.hold {
+                            worker.hold = Hold::Due(now);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Orders a run that is stored.
+    fn start(&mut self, now: Timestamp, task: TaskName, run: u32) {
+        let key = task.step;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let step = &mut job.occurrences[key.occurrence as usize][key.step as usize];
+        let entry = &mut step.tasks[task.index as usize];
+        let Some(place) = entry.place.as_mut().filter(|p| p.run == run && p.phase == Phase::Recording) else {
+            return;
+        };
+        let life = place.life.clone();
+        let ticket = step.tickets.good.get(&life);
+        let lacks = job.spec.queue.advice.is_some() && ticket.is_none_or(|(_, until)| *until <= now);
+        let ticket = ticket.map(|(ticket, _)| ticket.clone());
+        let worker = self.workers.get_mut(&life);
+        let deadline = worker.filter(|w| w.usable(now)).and_then(|w| w.lease.deadline().map(|d| (w, d)));
+        let (Some((worker, deadline)), false, false) = (deadline, lacks, job.state.is_final()) else {
+            log::info!(target: "decision", "start task={task} run={run} worker={life} outcome=dropped ticket={}", !lacks);
+            self.drop_place(now, task, run);
+            return;
+        };
+        place.phase = Phase::Starting;
+        self.counters.starts += 1;
+        self.out.push(Action::Start {
+            life,
+            address: worker.entry.address.clone(),
+            task,
+            run,
+            spec: job.spec.clone(),
+            deadline,
+            saved: entry.saved.clone(),
+            ticket,
+        });
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -0,0 +1,182 @@
+//! State of a new owner from the records of the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Batch, Counters, Owner, OwnerOptions};
+use crate::shard::id::{JobKey, Life};
+use crate::shard::job::{Job, Phase, Placement, Task};
+use crate::shard::lease::{CLOCK_RATE, UNCONFIRMED};
+use crate::shard::message::WorkerEntry;
+use crate::shard::record::{Progress, Record};
+use crate::shard::spec::{JobSpec, Queue};
+use crate::shard::worker::Worker;
+use crate::unit::{Resources, Timestamp};
+
+/// Records of the store as a new owner read them.
+#[derive(Debug, Default)]
+pub struct Restored {
+    jobs: BTreeMap<JobKey, std::sync::Arc<JobSpec>>,
+    progress: BTreeMap<JobKey, Progress>,
+}
+
+impl Restored {
+    /// Adds a record; a later one replaces an earlier one of the same key.
+    pub fn add(&mut self, record: Record) {
+        match record {
+            Record::Owner(_) => {}
+            Record::Job(key, spec) => {
+                self.jobs.insert(key, spec);
+            }
+            Record::Progress(key, progress) => {
+                self.progress.insert(key, progress);
+            }
+            Record::Forget(key) => {
+                self.jobs.remove(&key);
+            }
+        }
+    }
+}
+
+/// Stands for the specification of a finished job, which the store has dropped.
+fn dropped() -> JobSpec {
+    let queue = Queue {
+        name: String::new(),
+        service: String::new(),
+        priority: 0,
+        attempts: 1,
+        stretch: 1.0,
+        target: std::time::Duration::ZERO,
+        advice: None,
+    };
+    JobSpec { queue, text: String::new(), steps: Vec::new(), repeat: None }
+}
+
+impl Owner {
+    /// Owner that goes on from the records of the previous one.
+    #[must_use]
+    pub fn restore(options: OwnerOptions, restored: Restored, now: Timestamp, wall: u64) -> Self {
+        let mut owner = Self {
+            options,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            ranks: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            batch: Batch::default(),
+            flight: None,
+            flushed: Timestamp::ZERO,
+            confirmed: now,
+            store: true,
+            store_back: now,
+            changed: true,
+            pauses: BTreeMap::new(),
+            checked: now,
+            asks: 0,
+            counters: Counters::default(),
+            out: Vec::new(),
+        };
+        let Restored { mut jobs, progress } = restored;
+        for (key, progress) in progress {
+            let spec = jobs.remove(&key);
+            owner.restore_job(now, wall, key, spec, &progress);
+        }
+        for (key, spec) in jobs {
+            owner.restore_job(now, wall, key, Some(spec), &Progress { submitted: wall, ..Progress::default() });
+        }
+        owner
+    }
+
+    /// Time until which a previous owner may have extended a worker's lease.
+    pub(super) fn inherited(&self, now: Timestamp) -> Timestamp {
+        now + UNCONFIRMED + self.options.lease.div_f64(CLOCK_RATE)
+    }
+
+    fn restore_job(
+        &mut self,
+        now: Timestamp,
+        wall: u64,
+        key: JobKey,
+        spec: Option<std::sync::Arc<JobSpec>>,
+        progress: &Progress,
+    ) {
+        let forgotten = spec.is_none();
+        if forgotten && !progress.state.is_final() {
+            log::error!("job {key} has progress but no specification; it is left as it is");
+        }
+        let spec = spec.unwrap_or_else(|| std::sync::Arc::new(dropped()));
+        let age = std::time::Duration::from_millis(wall.saturating_sub(progress.submitted));
+        let mut job = Job::new(spec.clone(), now - age, progress.submitted);
+        job.stored = true;
+        job.forgotten = forgotten;
+        job.state = progress.state;
+        job.shown = progress.state;
+        if job.state == crate::shard::record::JobState::Queued && !forgotten {
+            self.count_waiting(&spec.queue.name, 1);
+        }
+        self.jobs.insert(key, job);
+        if forgotten {
+            return;
+        }
+        self.begin_due(now, wall, key);
+        let inherited = self.inherited(now);
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        for (occurrence, steps) in (0u32..).zip(&progress.occurrences) {
+            if job.occurrences.len() <= occurrence as usize {
+                job.begin(now);
+            }
+            for (number, tasks) in (0u32..).zip(steps) {
+                let Some(step) = job.occurrences[occurrence as usize].get_mut(number as usize) else { break };
+                let need = spec.steps[number as usize].reserved();
+                for (index, stored) in (0u32..).zip(tasks) {
+                    let Some(task) = step.tasks.get_mut(index as usize) else { break };
+                    let life = stored.place.and_then(|p| progress.lives.get(p as usize));
+                    *task = restored_task(now, stored, life);
+                    if let Some(place) = &task.place {
+                        let name = crate::shard::id::StepKey { job: key, occurrence, step: number }.task(index);
+                        let stub = || Worker::new(unlisted(&place.life), now, inherited);
+                        let worker = self.workers.entry(place.life.clone()).or_insert_with(stub);
+                        worker.missing = Some(now);
+                        worker.occupy(name, place.run, need);
+                        job.live += 1;
+                    }
+                    if stored.done {
+                        step.finish(index);
+                    }
+                }
+            }
+        }
+        let ended = job.state.is_final();
+        if ended && job.live == 0 {
+            self.batch.progress.insert(key);
+        }
+        if !ended {
+            self.refresh_job(now, key);
+        }
+    }
+}
+
+fn restored_task(now: Timestamp, stored: &crate::shard::record::TaskProgress, life: Option<&Life>) -> Task {
+    let place = life.map(|life| Placement {
+        life: life.clone(),
+        run: stored.run,
+        phase: Phase::Inherited,
+        percent: 0,
+        moved: now,
+    });
+    Task { run: stored.run, failures: stored.failures, done: false, saved: stored.saved.clone(), place }
+}
+
+/// Entry of a worker that the registry has not listed yet.
+fn unlisted(life: &Life) -> WorkerEntry {
+    WorkerEntry {
+        life: life.clone(),
+        service: String::new(),
+        address: String::new(),
+        zone: String::new(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources::ZERO,
+        draining: false,
+        remaining: None,
+    }
+}
--- /dev/null
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -0,0 +1,325 @@
+//! Placed runs: results of orders, ends, and what follows for their step and job.
+
+use super::{Effect, Owner};
+use crate::shard::id::{JobKey, Life, StepKey, TaskName};
+use crate::shard::job::{Phase, Placement};
+use crate::shard::message::{Action, EndKind, OrderError};
+use crate::shard::record::JobState;
+use crate::unit::Timestamp;
+
+/// Isolation of a worker that refused an order.
+const REFUSED: std::time::Duration = std::time::Duration::from_millis(1_000); // A worker that refuses does so for seconds.
+/// Pause before an order to stop is repeated.
+const STOP_AGAIN: std::time::Duration = std::time::Duration::from_millis(150); // Less than a worker's own time to stop.
+
+impl Owner {
+    /// Placement of a task, if it is the run `run` on `life`.
+    pub(super) fn placement(&mut self, task: TaskName, run: u32, life: &Life) -> Option<&mut Placement> {
+        let key = task.step;
+        let step = self.jobs.get_mut(&key.job)?.occurrences.get_mut(key.occurrence as usize)?;
+        let task = step.get_mut(key.step as usize)?.tasks.get_mut(task.index as usize)?;
+        task.place.as_mut().filter(|p| p.run == run && p.life == *life)
+    }
+
+    pub(super) fn on_started(
+        &mut self,
+        now: Timestamp,
+        task: TaskName,
+        run: u32,
+        life: &Life,
+        result: Result<(), OrderError>,
+    ) {
+        let Some(place) = self.placement(task, run, life).filter(|p| p.phase == Phase::Starting) else { return };
+        match result {
+            Ok(()) => {
+                place.phase = Phase::Running(now);
+                place.moved = now;
+                self.begun(task.step.job);
+                return;
+            }
+            Err(OrderError::Silent) => {
+                place.phase = Phase::Unsure(now);
+                log::info!(target: "decision", "start task={task} run={run} worker={life} outcome=unanswered");
+                return;
+            }
+            Err(error) => {
+                log::info!(target: "decision", "start task={task} run={run} worker={life} outcome={error:?}");
+                if self.deposed(error) {
+                    return;
+                }
+                match error {
+                    OrderError::OtherLife => return self.life_over(now, life, "another incarnation answered"),
+                    OrderError::Ticket => self.revoke(task.step, life),
+                    _ => {
+                        if let Some(worker) = self.workers.get_mut(life) {
+                            worker.health.isolate(now, REFUSED);
+                        }
+                    }
+                }
+            }
+        }
+        self.drop_place(now, task, run);
+    }
+
+    /// The first task of a job has started.
+    pub(super) fn begun(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key).filter(|j| j.state == JobState::Queued) else { return };
+        job.state = JobState::Running;
+        job.shown = JobState::Running;
+        let queue = job.spec.queue.name.clone();
+        self.count_waiting(&queue, -1);
+    }
+
+    /// Takes back a run that provably does not exist on its worker.
+    pub(super) fn drop_place(&mut self, now: Timestamp, task: TaskName, run: u32) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let step = &mut job.occurrences[task.step.occurrence as usize][task.step.step as usize];
+        let entry = &mut step.tasks[task.index as usize];
+        let Some(place) = entry.place.take_if(|p| p.run == run) else { return };
+        job.live -= 1;
+        if let Some(worker) = self.workers.get_mut(&place.life) {
+            worker.free(task, run);
+        }
+        self.pauses.remove(&(task, run));
+        self.batch.progress.insert(task.step.job);
+        self.stop_gang(task.step);
+        self.refresh(now, task.step);
+        self.settle(now, task.step.job);
+    }
+
+    /// Stops the members of a gang that can't go on, if the step is a gang.
+    fn stop_gang(&mut self, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if !job.spec.steps[key.step as usize].gang {
+            return;
+        }
+        let step = &job.occurrences[key.occurrence as usize][key.step as usize];
+        if step.complete() {
+            return;
+        }
+        let members = (0u32..).zip(&step.tasks).filter(|(_, t)| t.place.is_some());
+        let members: Vec<TaskName> = members.map(|(index, _)| key.task(index)).collect();
+        for member in members {
+            self.stop(member);
+        }
+    }
+
+    /// Orders a placed run to stop, or takes it back if nothing was sent yet.
+    pub(super) fn stop(&mut self, task: TaskName) {
+        let key = task.step;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let entry = &mut job.occurrences[key.occurrence as usize][key.step as usize].tasks[task.index as usize];
+        let Some(place) = entry.place.as_mut() else { return };
+        match place.phase {
+            Phase::Stopping(_) => return,
+            Phase::Recording => {
+                let run = place.run;
+                let life = place.life.clone();
+                entry.place = None;
+                job.live -= 1;
+                if let Some(worker) = self.workers.get_mut(&life) {
+                    worker.free(task, run);
+                }
+                self.batch.progress.insert(key.job);
+                return;
+            }
+            _ => place.phase = Phase::Stopping(None),
+        }
+        let (life, run) = (place.life.clone(), place.run);
+        self.order_stop(task, run, &life);
+    }
+
+    pub(super) fn order_stop(&mut self, task: TaskName, run: u32, life: &Life) {
+        let Some(worker) = self.workers.get(life).filter(|w| !w.entry.address.is_empty()) else { return };
+        let address = worker.entry.address.clone();
+        self.out.push(Action::Stop { life: life.clone(), address, task, run });
+    }
+
+    pub(super) fn on_stopped(
+        &mut self,
+        now: Timestamp,
+        task: TaskName,
+        run: u32,
+        life: &Life,
+        result: Result<(), OrderError>,
+    ) {
+        match result {
+            Err(OrderError::OtherLife) => return self.life_over(now, life, "another incarnation answered"),
+            Err(error @ OrderError::Fenced) => {
+                self.deposed(error);
+                return;
+            }
+            Err(OrderError::Silent | OrderError::Unhealthy) => {
+                self.pauses.insert((task, run), now + STOP_AGAIN);
+                return;
+            }
+            Ok(()) | Err(_) => {}
+        }
+        if let Some(place) = self.placement(task, run, life)
+            && place.phase == Phase::Stopping(None)
+        {
+            place.phase = Phase::Stopping(Some(now));
+        }
+    }
+
+    /// Repeats orders to stop that were not answered.
+    pub(super) fn stop_again(&mut self, now: Timestamp) {
+        let due: Vec<_> = self.pauses.iter().filter(|(_, at)| **at <= now).map(|(key, _)| *key).collect();
+        for (task, run) in due {
+            self.pauses.remove(&(task, run));
+            let key = task.step;
+            let place = self.jobs.get(&key.job).and_then(|job| {
+                let step = job.occurrences.get(key.occurrence as usize)?.get(key.step as usize)?;
+                step.tasks.get(task.index as usize)?.place.clone()
+            });
+            if let Some(place) = place.filter(|p| p.run == run && p.phase == Phase::Stopping(None)) {
+                self.order_stop(task, run, &place.life);
+            }
+        }
+    }
+
+    /// A run has ended on a worker that listed the end, or with the worker.
+    pub(super) fn on_end(
+        &mut self,
+        now: Timestamp,
+        life: &Life,
+        task: TaskName,
+        run: u32,
+        kind: EndKind,
+        saved: &str,
+    ) {
+        if let Some(worker) = self.workers.get_mut(life) {
+            worker.free(task, run);
+            match kind {
+                EndKind::Done => worker.health.succeeded(),
+                EndKind::Failed => worker.health.failed(now, task.step.job),
+                _ => {}
+            }
+        }
+        self.changed = true;
+        self.pauses.remove(&(task, run));
+        let key = task.step;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let spec = job.spec.clone();
+        let Some(shape) = spec.steps.get(key.step as usize) else { return };
+        let Some(step) = job.occurrences.get_mut(key.occurrence as usize).and_then(|o| o.get_mut(key.step as usize))
+        else {
+            return;
+        };
+        let Some(entry) = step.tasks.get_mut(task.index as usize) else { return };
+        let current = entry.place.take_if(|p| p.run == run && p.life == *life).is_some();
+        if current {
+            job.live -= 1;
+        }
+        let counts = current || (shape.copies && kind == EndKind::Done && run <= entry.run);
+        if !counts {
+            return;
+        }
+        log::info!(target: "decision", "end task={task} run={run} worker={life} kind={kind:?}");
+        if !saved.is_empty() {
+            entry.saved = saved.to_owned();
+        }
+        match kind {
+            EndKind::Done if shape.lasting => {}
+            EndKind::Done => {
+                self.counters.done += 1;
+                if shape.gang {
+                    (0..shape.tasks).for_each(|index| step.finish(index));
+                } else {
+                    step.finish(task.index);
+                }
+            }
+            EndKind::Failed => {
+                self.counters.failed += 1;
+                if !shape.gang {
+                    entry.failures += 1;
+                } else if step.failed < run {
+                    step.failed = run;
+                    step.tasks.iter_mut().for_each(|t| t.failures += 1);
+                }
+            }
+            EndKind::Lapsed => self.counters.lost += 1,
+            EndKind::Stopped | EndKind::Broken | EndKind::Alone => {}
+        }
+        if shape.gang && kind != EndKind::Done && !step.complete() && !saved.is_empty() {
+            step.tasks.iter_mut().for_each(|t| saved.clone_into(&mut t.saved));
+        }
+        let exhausted = !shape.lasting && kind == EndKind::Failed && {
+            let failures = step.tasks[task.index as usize].failures;
+            failures >= spec.queue.attempts
+        };
+        self.batch.progress.insert(key.job);
+        if exhausted {
+            self.finish_job(now, key.job, JobState::Failed);
+        }
+        self.after_end(now, key);
+    }
+
+    fn after_end(&mut self, now: Timestamp, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let complete = job.occurrences[key.occurrence as usize][key.step as usize].complete();
+        if job.state.is_final() {
+            return self.settle(now, key.job);
+        }
+        if complete {
+            if job.complete() {
+                return self.finish_job(now, key.job, JobState::Completed);
+            }
+            self.refresh_job(now, key.job);
+        } else {
+            self.stop_gang(key);
+            self.refresh(now, key);
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn finish_job(&mut self, now: Timestamp, key: JobKey, state: JobState) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        let queued = job.state == JobState::Queued;
+        let queue = job.spec.queue.name.clone();
+        job.state = state;
+        let mut placed = Vec::new();
+        for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
+            for (step, list) in (0u32..).zip(steps) {
+                let name = StepKey { job: key, occurrence, step };
+                let tasks = (0u32..).zip(&list.tasks).filter(|(_, t)| t.place.is_some() && !t.done);
+                placed.extend(tasks.map(|(index, _)| name.task(index)));
+            }
+        }
+        if queued {
+            self.count_waiting(&queue, -1);
+        }
+        for task in placed {
+            self.stop(task);
+        }
+        self.batch.progress.insert(key);
+        self.batch.effects.push(Effect::Show(key));
+        self.refresh_job(now, key);
+        self.settle(now, key);
+    }
+
+    /// Drops the specification of a finished job once none of its runs is left.
+    fn settle(&mut self, _now: Timestamp, key: JobKey) {
+        if let Some(job) = self.jobs.get(&key)
+            && job.state.is_final()
+            && job.live == 0
+            && !job.forgotten
+        {
+            self.batch.progress.insert(key);
+        }
+    }
+
+    /// An incarnation of a worker is over: nothing runs there any more.
+    pub(super) fn life_over(&mut self, now: Timestamp, life: &Life, reason: &str) {
+        let Some(worker) = self.workers.get_mut(life) else { return };
+        let runs: Vec<_> = worker.runs.keys().copied().collect();
+        log::info!(target: "decision", "worker worker={life} outcome=over runs={} reason={reason:?}", runs.len());
+        for (task, run) in runs {
+            self.on_end(now, life, task, run, EndKind::Lapsed, "");
+        }
+        self.workers.remove(life);
+    }
+}
