--- a/yuccahoist/src/shard/host/campaign.rs
+++ b/yuccahoist/src/shard/host/campaign.rs
@@ -27,6 +27,8 @@
     pub epoch: Epoch,
     /// Whether the owner may be alive: only its silence speaks against it.
     pub cautious: bool,
+    /// Number of the append that starts the epoch; random, so that the store tells two claimers of one epoch apart.
+    pub sequence: u64,
     /// Time to wait first, so that hosts do not claim at the same moment.
     pub delay: Duration,
 }
@@ -36,6 +38,8 @@
 pub struct Won {
     /// New ownership.
     pub ownership: Ownership,
+    /// Number of the append that started the epoch.
+    pub sequence: u64,
     /// Records at that point.
     pub snapshot: Snapshot,
 }
@@ -59,12 +63,16 @@
         Ok(Record::Owner(ownership)) => Some(ownership.epoch),
         _ => None,
     });
+    if stored.is_some_and(|epoch| epoch > candidate.epoch) {
+        // Another host has taken over since this one learned of the owner.
+        return Ok(None);
+    }
     let epoch = Epoch(candidate.epoch.max(stored.unwrap_or_default()).0 + 1);
     let ownership = Ownership { epoch, address: candidate.address, host: candidate.host };
     let entry = Entry::from(&Record::Owner(ownership.clone()));
     let mut tries = 0;
     loop {
-        match store.claim(epoch, snapshot.end, &entry).await {
+        match store.claim(epoch, candidate.sequence, snapshot.end, &entry).await {
             Ok(()) => break,
             Err(StoreError::Moved { .. } | StoreError::Fenced { .. }) => return Ok(None),
             Err(error) if tries >= REPEATS => return Err(error),
@@ -79,5 +87,5 @@
             return Err(error);
         }
     }
-    Ok(Some(Won { ownership, snapshot }))
+    Ok(Some(Won { ownership, sequence: candidate.sequence, snapshot }))
 }
--- a/yuccahoist/src/shard/host/frame.rs
+++ b/yuccahoist/src/shard/host/frame.rs
@@ -53,7 +53,7 @@
     },
     /// Asks the receiving host to call the recommendation service.
     Advise {
-        /// Number on this connection.
+        /// Number of the question.
         number: u64,
         /// Step.
         step: StepKey,
--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -17,7 +17,8 @@
 
 use self::campaign::Won;
 use self::frame::{Frame, FrameSender};
-use super::id::{Epoch, Life, StepKey};
+use super::desk::Desk;
+use super::id::{Epoch, StepKey};
 use super::message::{Answer, Event, Refusal, Request};
 use super::owner::Owner;
 use super::ports::{Advisor, Announcement, Registry, RegistryChange, Store, StoreError, Ticket, Workers};
@@ -105,9 +106,9 @@
 #[derive(Debug, Clone)]
 enum Question {
     /// This host's own shard.
-    Own { step: StepKey, asked: Vec<Life> },
+    Own(Epoch, u64),
     /// The owner, over the connection of this host.
-    Peer { number: u64 },
+    Peer(u64),
 }
 
 /// Sending side of a host.
@@ -160,15 +161,6 @@
     pinged: Timestamp,
 }
 
-/// Recommendation that a peer works on.
-#[derive(Debug)]
-struct PeerQuestion {
-    link: u64,
-    step: StepKey,
-    asked: Vec<Life>,
-    cost: Duration,
-}
-
 /// State of a host.
 struct HostState {
     settings: HostSettings,
@@ -186,13 +178,13 @@
     links: BTreeMap<u64, FrameSender>,
     link: Option<OwnerLink>,
     connecting: bool,
+    connected: Timestamp,
     campaigning: bool,
     campaign_after: Timestamp,
     doubts: u32,
     cut_since: Option<Timestamp>,
-    questions: BTreeMap<u64, PeerQuestion>,
-    own_cost: Duration,
-    advice: mpsc::UnboundedSender<(Question, StepKey, Vec<Arc<str>>, Duration)>,
+    desk: Desk,
+    advice: mpsc::UnboundedSender<(Question, StepKey, Vec<Arc<str>>)>,
     stopping: Option<oneshot::Sender<()>>,
     leaving: bool,
 }
--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -8,6 +8,7 @@
 use super::frame::Frame;
 use super::relay::tell;
 use super::{HostState, Input};
+use crate::shard::desk::Ask;
 use crate::shard::id::Epoch;
 use crate::shard::message::{Action, Event};
 use crate::shard::ports::{HoldOrder, StartOrder, StoreError};
@@ -58,23 +59,26 @@
                     tell(&inbox, Input::Owned(epoch, Event::Stopped(task, run, life, result))).await;
                 });
             }
-            Action::Advise { step, workers, cost } => self.advise(step, workers, cost),
+            Action::Advise { step, workers, cost, latest } => {
+                self.desk.add(Ask { step, workers, cost, latest });
+                self.ask_next();
+            }
             Action::Deposed(epoch) => self.step_down(now, epoch, "a worker has seen a higher epoch"),
         }
     }
 
     /// Task that writes the owner's batches, one at a time, until the store has them or has seen a higher epoch.
-    pub(super) fn appender(&mut self, epoch: Epoch) -> mpsc::Sender<Vec<Entry>> {
+    pub(super) fn appender(&mut self, epoch: Epoch, first: u64) -> mpsc::Sender<Vec<Entry>> {
         let (sender, mut batches) = mpsc::channel::<Vec<Entry>>(1);
         let (store, inbox) = (self.ports.store.clone(), self.inbox.clone());
         tokio::spawn(async move {
-            let mut sequence = 0;
+            let mut sequence = first;
             while let Some(entries) = batches.recv().await {
                 sequence += 1;
                 let mut pause = FIRST_PAUSE_MS;
                 let mut down = false;
                 while let Err(error) = store.append(epoch, sequence, &entries).await {
-                    if let StoreError::Fenced { .. } = error {
+                    if let StoreError::Fenced { .. } | StoreError::Moved { .. } = error {
                         return tell(&inbox, Input::Fenced(epoch)).await;
                     }
                     if batches.is_closed() || inbox.is_closed() {
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -5,13 +5,13 @@
 
 use super::frame::Frame;
 use super::relay::tell;
-use super::{HostState, Input, PeerQuestion, Question, Won};
-use crate::shard::id::{Epoch, Life, StepKey};
+use super::{HostState, Input, Question, Won};
+use crate::shard::desk::{Desk, Lane};
+use crate::shard::id::{Epoch, StepKey};
 use crate::shard::message::{CallId, Event};
 use crate::shard::owner::{OwnerOptions, Restored};
 use crate::shard::ports::{Announcement, RegistryChange, Ticket};
 use crate::shard::record::Record;
-use crate::shard::spec::AdviceCost;
 use crate::shard::Owner;
 use crate::unit::Timestamp;
 
@@ -48,14 +48,11 @@
         let wall = self.ports.clock.wall().as_millis();
         let options = OwnerOptions::new(won.ownership, self.settings.longest);
         self.owner = Some(Owner::restore(options, restored, now, wall));
-        self.appends = Some(self.appender(epoch));
+        self.appends = Some(self.appender(epoch, won.sequence));
+        self.desk = Desk::default();
+        self.desk.open(Lane::Own);
+        self.links.clear();
         self.watch_registry(epoch);
-        for sender in self.links.values() {
-            // Hosts that are connected from before learn the epoch from the announcement.
-            if !sender.send(Frame::Pong { epoch, store: true }) {
-                log::debug!("a host's connection is closed");
-            }
-        }
         self.send_all(now);
     }
 
@@ -106,7 +103,7 @@
         log::warn!(target: "decision", "step-down epoch={epoch} reason={reason:?}");
         self.owner = None;
         self.appends = None;
-        self.questions.clear();
+        self.desk = Desk::default();
         for sender in self.links.values() {
             if !sender.send(Frame::NotOwner) {
                 log::debug!("a host's connection is closed");
@@ -134,63 +131,54 @@
                 }
             }
             Frame::Call { number, request } => self.owned(now, epoch, Event::Call(CallId { link, number }, request)),
-            Frame::Advised { number, good } => {
-                if let Some(question) = self.questions.remove(&number) {
-                    self.owned(now, epoch, Event::Advised(question.step, question.asked, good));
-                }
+            Frame::Advised { number, good } => self.lane_free(now, Lane::Link(link), number, good),
+            Frame::Hello { host, epoch: meant } if meant == epoch => {
+                log::info!(target: "decision", "host host={host} epoch={epoch} outcome=joined");
+                self.desk.open(Lane::Link(link));
+                self.ask_next();
+            }
+            Frame::Hello { host, epoch: meant } => {
+                log::info!(target: "decision", "host host={host} epoch={epoch} outcome=turned-away meant={meant}");
+                self.links.remove(&link);
             }
             other => log::trace!("host says {other:?}"),
         }
     }
 
-    pub(super) fn on_inbound_closed(&mut self, now: Timestamp, link: u64) {
+    pub(super) fn on_inbound_closed(&mut self, link: u64) {
         self.links.remove(&link);
-        let lost: Vec<u64> = self.questions.iter().filter(|(_, q)| q.link == link).map(|(n, _)| *n).collect();
-        let epoch = self.epoch;
-        for number in lost {
-            if let Some(question) = self.questions.remove(&number) {
-                self.owned(now, epoch, Event::Advised(question.step, question.asked, None));
-            }
-        }
+        self.desk.close(Lane::Link(link));
+        self.ask_next();
     }
 
-    /// Sends a question to the host whose calls take the least time together.
-    pub(super) fn advise(&mut self, step: StepKey, asked: Vec<Life>, cost: AdviceCost) {
-        let workers: Vec<Arc<str>> = asked.iter().map(|life| life.id.clone()).collect();
-        let cost = cost.call(workers.len());
-        let busy = |link: u64| -> Duration {
-            self.questions.values().filter(|q| q.link == link).map(|q| q.cost).sum()
-        };
-        let best = self.links.keys().map(|link| (busy(*link), *link)).min();
-        if let Some((load, link)) = best
-            && load <= self.own_cost
-        {
-            self.numbers += 1;
-            let number = self.numbers;
-            let frame = Frame::Advise { number, step, workers: workers.clone() };
-            if self.links.get(&link).is_some_and(|sender| sender.send(frame)) {
-                self.questions.insert(number, PeerQuestion { link, step, asked, cost });
-                return;
+    /// Hands waiting questions to the hosts that are free.
+    pub(super) fn ask_next(&mut self) {
+        while let Some((lane, number, ask)) = self.desk.next() {
+            let workers: Vec<Arc<str>> = ask.workers.iter().map(|life| life.id.clone()).collect();
+            match lane {
+                Lane::Own => self.question(Question::Own(self.epoch, number), ask.step, workers),
+                Lane::Link(link) => {
+                    let frame = Frame::Advise { number, step: ask.step, workers };
+                    if !self.links.get(&link).is_some_and(|sender| sender.send(frame)) {
+                        self.links.remove(&link);
+                        self.desk.close(lane);
+                    }
+                }
             }
         }
-        self.own_cost += cost;
-        self.question(Question::Own { step, asked }, step, workers);
     }
 
     pub(super) fn question(&mut self, question: Question, step: StepKey, workers: Vec<Arc<str>>) {
-        if self.advice.send((question, step, workers, Duration::ZERO)).is_err() {
+        if self.advice.send((question, step, workers)).is_err() {
             log::error!("the task that asks for recommendations has ended");
         }
     }
 
     pub(super) fn on_advised(&mut self, now: Timestamp, question: Question, good: Option<Vec<Ticket>>) {
         match question {
-            Question::Own { step, asked } => {
-                self.own_cost = Duration::ZERO;
-                let epoch = self.epoch;
-                self.owned(now, epoch, Event::Advised(step, asked, good));
-            }
-            Question::Peer { number } => {
+            Question::Own(epoch, number) if epoch == self.epoch => self.lane_free(now, Lane::Own, number, good),
+            Question::Own(..) => {}
+            Question::Peer(number) => {
                 if let Some(link) = &self.link
                     && !link.sender.send(Frame::Advised { number, good })
                 {
@@ -200,6 +188,14 @@
         }
     }
 
+    fn lane_free(&mut self, now: Timestamp, lane: Lane, number: u64, good: Option<Vec<Ticket>>) {
+        let epoch = self.epoch;
+        if let Some(ask) = self.desk.finish(lane, number) {
+            self.owned(now, epoch, Event::Advised(ask.step, ask.workers, good));
+        }
+        self.ask_next();
+    }
+
     /// Gives the shard up once nothing is being written, when the host is stopping.
     pub(super) fn try_stop(&mut self, now: Timestamp) {
         if !self.leaving || self.stopping.is_none() {
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -14,6 +14,8 @@
 
 /// Time limit for connecting to the owner.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400); // Hosts are at most 3 ms apart; a lost packet is sent again after 200 ms.
+/// Least time between two connections to the owner; a sooner one waits for the next tick.
+const RECONNECT: Duration = Duration::from_millis(100); // An owner that turns hosts away has to learn something first.
 /// Interval of pings to the owner.
 const PING: Duration = Duration::from_millis(250); // Two are missed before the owner counts as silent.
 /// Silence after which the owner may be gone.
@@ -46,7 +48,7 @@
                 self.links.insert(link, sender);
             }
             Input::Inbound(link, frame) => self.on_inbound(now, link, frame),
-            Input::InboundClosed(link) => self.on_inbound_closed(now, link),
+            Input::InboundClosed(link) => self.on_inbound_closed(link),
             Input::Connected(epoch, sender) => self.on_connected(now, epoch, sender),
             Input::Outbound(epoch, frame) => self.on_outbound(now, epoch, frame),
             Input::Disconnected(epoch, loss) => self.on_disconnected(now, epoch, loss),
@@ -165,7 +167,9 @@
         if self.owner.is_some() {
             return;
         }
-        if released || own {
+        if own && self.campaigning {
+            self.link = None;
+        } else if released || own {
             // An earlier process of this host owned the shard, or the owner gave it up.
             self.link = None;
             self.campaign(now, false);
@@ -180,6 +184,7 @@
             return;
         }
         self.connecting = true;
+        self.connected = self.ports.clock.now();
         let address = announcement.ownership.address.clone();
         let (epoch, inbox) = (announcement.ownership.epoch, self.inbox.clone());
         let host = self.settings.name.clone();
@@ -223,7 +228,8 @@
         self.link = None;
         log::info!(target: "decision", "owner epoch={epoch} outcome=lost loss={loss:?}");
         match loss {
-            Loss::Ended => self.connect(),
+            Loss::Ended if now.since(self.connected) > RECONNECT => self.connect(),
+            Loss::Ended => {}
             // Nobody listens there: the process has ended, unless a cut refuses connections.
             Loss::Refused => self.campaign(now, self.doubts > 0),
             Loss::Silent => self.campaign(now, true),
@@ -238,7 +244,7 @@
         link.heard = now;
         match frame {
             Frame::Answer { number, answer } => self.answer(number, answer),
-            Frame::Advise { number, step, workers } => self.question(Question::Peer { number }, step, workers),
+            Frame::Advise { number, step, workers } => self.question(Question::Peer(number), step, workers),
             Frame::Pong { store: false, .. } if self.store => self.campaign(now, true),
             Frame::NotOwner => {
                 self.link = None;
@@ -261,6 +267,7 @@
             address: self.settings.address.to_string(),
             epoch: self.epoch,
             cautious,
+            sequence: u64::from(self.rng.random::<u32>()),
             delay: jitter + WEAK_DELAY.mul_f64(weakness),
         };
         log::info!(target: "decision", "campaign epoch={} cautious={cautious}", self.epoch);
@@ -275,7 +282,9 @@
         self.campaigning = false;
         match result {
             Ok(Some(won)) => {
-                if won.ownership.epoch > self.epoch || self.announced.is_none() {
+                // The announcement may arrive before the result of the campaign.
+                let announced = self.announced.as_ref().is_some_and(|a| a.ownership == won.ownership);
+                if announced || won.ownership.epoch > self.epoch {
                     return self.take_over(now, won);
                 }
                 log::info!(target: "decision", "campaign epoch={} outcome=outrun", won.ownership.epoch);
--- a/yuccahoist/src/shard/host/run.rs
+++ b/yuccahoist/src/shard/host/run.rs
@@ -11,6 +11,7 @@
 
 use super::frame::split;
 use super::{HostHandle, HostSettings, HostState, HostStatus, INBOX, Input, Ports, Question};
+use crate::shard::desk::Desk;
 use crate::shard::id::{Epoch, StepKey};
 use crate::shard::ports::{Advisor, Store};
 use crate::unit::Timestamp;
@@ -51,12 +52,12 @@
         links: BTreeMap::new(),
         link: None,
         connecting: false,
+        connected: Timestamp::ZERO,
         campaigning: false,
         campaign_after: Timestamp::ZERO,
         doubts: 0,
         cut_since: None,
-        questions: BTreeMap::new(),
-        own_cost: Duration::ZERO,
+        desk: Desk::default(),
         advice,
         stopping: None,
         leaving: false,
@@ -140,10 +141,10 @@
 /// Calls the recommendation service, one call at a time, as it handles one call of a host at a time.
 async fn answer_questions(
     advisor: Arc<dyn Advisor>,
-    mut questions: mpsc::UnboundedReceiver<(Question, StepKey, Vec<Arc<str>>, Duration)>,
+    mut questions: mpsc::UnboundedReceiver<(Question, StepKey, Vec<Arc<str>>)>,
     inbox: mpsc::Sender<Input>,
 ) {
-    while let Some((question, step, workers, _)) = questions.recv().await {
+    while let Some((question, step, workers)) = questions.recv().await {
         let good = advisor.advise(step, &workers).await;
         if inbox.send(Input::Advised(question, good)).await.is_err() {
             return;
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -7,8 +7,8 @@
 
 use super::id::{Epoch, JobKey, Life, StepKey, TaskName};
 use super::record::{Entry, JobState};
-use super::spec::{AdviceCost, JobSpec};
-use crate::unit::Resources;
+use super::spec::JobSpec;
+use crate::unit::{Resources, Timestamp};
 
 /// Call of a caller that waits for an answer, numbered by the host that took it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -258,8 +258,10 @@
         step: StepKey,
         /// Workers.
         workers: Vec<Life>,
-        /// Cost of the call.
-        cost: AdviceCost,
+        /// Expected duration of the call.
+        cost: Duration,
+        /// Latest start of the step that is in time.
+        latest: Timestamp,
     },
     /// A worker has seen a higher epoch: this owner is replaced.
     Deposed(Epoch),
--- a/yuccahoist/src/shard/mod.rs
+++ b/yuccahoist/src/shard/mod.rs
@@ -6,6 +6,7 @@
 //! placement before its start, an end before the worker may forget it. Everything else is read back from the workers.
 
 pub mod admission;
+pub mod desk;
 pub mod health;
 pub mod host;
 pub mod id;
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -216,16 +216,22 @@
         if job.state.is_final() || !step.waits(spec) || !job.unblocked(key.occurrence, key.step) {
             return;
         }
-        let urgency = Urgency {
-            arrival: job.due[key.occurrence as usize],
-            objective: job.spec.objective(),
-            chain: job.chain(key.step),
-            work: job.spec.work(),
-        };
-        let rank = urgency.rank(now);
+        let Some(rank) = self.urgency(key).map(|u| u.rank(now)) else { return };
         self.ranks.insert(key, rank);
         self.ready.insert((rank, key));
         self.changed = true;
+        self.ask_first(now, key);
+    }
+
+    /// What the rank of a step follows from.
+    fn urgency(&self, key: StepKey) -> Option<Urgency> {
+        let job = self.jobs.get(&key.job)?;
+        Some(Urgency {
+            arrival: *job.due.get(key.occurrence as usize)?,
+            objective: job.spec.objective(),
+            chain: job.chain(key.step),
+            work: job.spec.work(),
+        })
     }
 
     /// Ranks all steps of a job anew.
--- a/yuccahoist/src/shard/owner/tickets.rs
+++ b/yuccahoist/src/shard/owner/tickets.rs
@@ -56,7 +56,35 @@
         tickets.pending = true;
         self.asks += 1;
         self.counters.advice += 1;
-        self.out.push(Action::Advise { step: key, workers, cost });
+        let cost = cost.call(workers.len());
+        let latest = self.urgency(key).map_or(now, |u| u.latest());
+        self.out.push(Action::Advise { step: key, workers, cost, latest });
+    }
+
+    /// Asks for a step as soon as it may start, so that the answer is there when the next pass places it.
+    pub(super) fn ask_first(&mut self, now: Timestamp, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job).filter(|j| j.spec.queue.advice.is_some()) else { return };
+        let tickets = &job.occurrences[key.occurrence as usize][key.step as usize].tickets;
+        if tickets.pending || !tickets.asked.is_empty() {
+            return;
+        }
+        let shape = &job.spec.steps[key.step as usize];
+        let need = shape.reserved();
+        let suits = |w: &&crate::shard::worker::Worker| {
+            w.entry.service == job.spec.queue.service
+                && need.fits(w.entry.capacity)
+                && shape.label.as_ref().is_none_or(|l| w.entry.labels.contains(l))
+                && w.usable(now)
+        };
+        let mut workers: Vec<_> = self
+            .workers
+            .values()
+            .filter(suits)
+            .map(|w| (w.health.isolated(now), std::cmp::Reverse(w.room().cpu), &w.entry.life))
+            .collect();
+        workers.sort();
+        let workers = workers.into_iter().map(|(_, _, life)| life.clone()).collect();
+        self.ask(now, key, Vec::new(), workers);
     }
 
     pub(super) fn on_advised(
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -74,8 +74,8 @@
     /// End of the log.
     async fn end(&self) -> Result<u64, StoreError>;
 
-    /// Starts an epoch, if the log still ends at `end`.
-    async fn claim(&self, epoch: Epoch, end: u64, entry: &Entry) -> Result<(), StoreError>;
+    /// Starts an epoch with an append numbered `sequence`, if the log still ends at `end`.
+    async fn claim(&self, epoch: Epoch, sequence: u64, end: u64, entry: &Entry) -> Result<(), StoreError>;
 
     /// Appends entries in an epoch; a repeat with the same `sequence` has no further effect.
     async fn append(&self, epoch: Epoch, sequence: u64, entries: &[Entry]) -> Result<(), StoreError>;
