Follow claims that were not announced, and repeat lost writes soon

(2) Limits of writes counted lost answers as slowness and grew to over a second; one lost answer refused all jobs. (3) A host dropped its fresh connection when an older one ended. (4) A host that was about to win told others to campaign.

--- a/yuccahoist/src/shard/host/campaign.rs
+++ b/yuccahoist/src/shard/host/campaign.rs
@@ -44,37 +44,47 @@
     pub snapshot: Snapshot,
 }
 
-/// Tries to take over the shard; none when another host owns it.
+/// Outcome of a campaign.
+#[derive(Debug)]
+pub enum Outcome {
+    /// This host owns the shard.
+    Won(Won),
+    /// Another host took over, perhaps without having been able to announce it.
+    Outrun(Ownership),
+    /// Another host writes.
+    Alive,
+}
+
+/// Tries to take over the shard.
 ///
 /// # Errors
 ///
 /// Fails when the store does not answer.
-pub async fn campaign(store: Arc<dyn Store>, candidate: Candidate) -> Result<Option<Won>, StoreError> {
+pub async fn campaign(store: Arc<dyn Store>, candidate: Candidate) -> Result<Outcome, StoreError> {
     tokio::time::sleep(candidate.delay).await;
     if candidate.cautious {
         let before = store.end().await?;
         tokio::time::sleep(STILL).await;
         if store.end().await? != before {
-            return Ok(None);
+            return Ok(Outcome::Alive);
         }
     }
     let snapshot = store.read().await?;
     let stored = snapshot.entries.iter().find_map(|entry| match Record::try_from(entry) {
-        Ok(Record::Owner(ownership)) => Some(ownership.epoch),
+        Ok(Record::Owner(ownership)) => Some(ownership),
         _ => None,
     });
-    if stored.is_some_and(|epoch| epoch > candidate.epoch) {
-        // Another host has taken over since this one learned of the owner.
-        return Ok(None);
+    if let Some(ownership) = stored.filter(|stored| stored.epoch > candidate.epoch) {
+        return Ok(Outcome::Outrun(ownership));
     }
-    let epoch = Epoch(candidate.epoch.max(stored.unwrap_or_default()).0 + 1);
+    let epoch = Epoch(candidate.epoch.0 + 1);
     let ownership = Ownership { epoch, address: candidate.address, host: candidate.host };
     let entry = Entry::from(&Record::Owner(ownership.clone()));
     let mut tries = 0;
     loop {
         match store.claim(epoch, candidate.sequence, snapshot.end, &entry).await {
             Ok(()) => break,
-            Err(StoreError::Moved { .. } | StoreError::Fenced { .. }) => return Ok(None),
+            Err(StoreError::Moved { .. } | StoreError::Fenced { .. }) => return Ok(Outcome::Alive),
             Err(error) if tries >= REPEATS => return Err(error),
             Err(_) => tries += 1,
         }
@@ -87,5 +97,5 @@
             return Err(error);
         }
     }
-    Ok(Some(Won { ownership, sequence: candidate.sequence, snapshot }))
+    Ok(Outcome::Won(Won { ownership, sequence: candidate.sequence, snapshot }))
 }
--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -4,6 +4,7 @@
 pub mod frame;
 mod orders;
 mod owning;
+pub mod patience;
 mod relay;
 mod run;
 
@@ -15,7 +16,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use self::campaign::Won;
+use self::campaign::{Outcome, Won};
 use self::frame::{Frame, FrameSender};
 use super::desk::Desk;
 use super::id::{Epoch, StepKey};
@@ -78,14 +79,14 @@
     Owned(Epoch, Event),
     StoreState(bool),
     Announced(Announcement),
-    Campaigned(Result<Option<Won>, StoreError>),
+    Campaigned(Result<Outcome, StoreError>),
     Registry(Epoch, Vec<RegistryChange>),
     Accepted(u64, FrameSender),
     Inbound(u64, Frame),
     InboundClosed(u64),
-    Connected(Epoch, FrameSender),
-    Outbound(Epoch, Frame),
-    Disconnected(Epoch, Loss),
+    Connected(u64, FrameSender),
+    Outbound(u64, Frame),
+    Disconnected(u64, Loss),
     Advised(Question, Option<Vec<Ticket>>),
     Fenced(Epoch),
     Stop(oneshot::Sender<()>),
@@ -178,6 +179,7 @@
     links: BTreeMap<u64, FrameSender>,
     link: Option<OwnerLink>,
     connecting: bool,
+    connection: u64,
     connected: Timestamp,
     campaigning: bool,
     campaign_after: Timestamp,
--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 
 use super::frame::Frame;
+use super::patience::Patience;
 use super::relay::tell;
 use super::{HostState, Input};
 use crate::shard::desk::Ask;
@@ -16,7 +17,7 @@
 use crate::unit::Timestamp;
 
 /// First pause before a write is repeated.
-const FIRST_PAUSE_MS: u64 = 40; // A few times the duration of a write.
+const FIRST_PAUSE_MS: u64 = 15; // About the duration of a write.
 /// Longest pause before a write is repeated.
 const LONGEST_PAUSE_MS: u64 = 400; // Work goes on within half a second of the store's return.
 
@@ -73,29 +74,32 @@
         let (store, inbox) = (self.ports.store.clone(), self.inbox.clone());
         tokio::spawn(async move {
             let mut sequence = first;
+            let mut patience = Patience::default();
             while let Some(entries) = batches.recv().await {
                 sequence += 1;
-                let mut pause = FIRST_PAUSE_MS;
-                let mut down = false;
-                while let Err(error) = store.append(epoch, sequence, &entries).await {
+                let mut tries = 0;
+                let mut started = tokio::time::Instant::now();
+                while let Err(error) = store.append(epoch, sequence, &entries, patience.limit(tries)).await {
                     if let StoreError::Fenced { .. } | StoreError::Moved { .. } = error {
+                        log::info!(target: "decision", "append epoch={epoch} sequence={sequence} outcome=fenced error={error}");
                         return tell(&inbox, Input::Fenced(epoch)).await;
                     }
                     if batches.is_closed() || inbox.is_closed() {
                         return;
                     }
                     log::info!(target: "decision", "append epoch={epoch} sequence={sequence} outcome=repeat error={error}");
-                    if !down {
-                        down = true;
-                        tell(&inbox, Input::StoreState(false)).await;
+                    tries += 1;
+                    if matches!(error, StoreError::Silent { .. }) {
+                        // The limit has passed already.
+                        started = tokio::time::Instant::now();
+                        continue;
                     }
+                    let pause = (FIRST_PAUSE_MS << tries.min(5)).min(LONGEST_PAUSE_MS);
                     let jitter = rand::rng().random_range(0..pause);
                     tokio::time::sleep(Duration::from_millis(pause + jitter)).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE_MS);
-                }
-                if down {
-                    tell(&inbox, Input::StoreState(true)).await;
+                    started = tokio::time::Instant::now();
                 }
+                patience.took(started.elapsed());
                 tell(&inbox, Input::Owned(epoch, Event::Stored)).await;
             }
         });
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -118,7 +118,8 @@
         let epoch = self.epoch;
         let Some(sender) = self.links.get(&link).cloned() else { return };
         if self.owner.is_none() {
-            if !sender.send(Frame::NotOwner) {
+            // A campaign may have been won already; the peer connects again.
+            if !self.campaigning && !sender.send(Frame::NotOwner) {
                 log::debug!("a host's connection is closed");
             }
             self.links.remove(&link);
@@ -126,7 +127,7 @@
         }
         match frame {
             Frame::Ping => {
-                if !sender.send(Frame::Pong { epoch, store: self.store }) {
+                if !sender.send(Frame::Pong { epoch, store: self.owner.as_ref().is_some_and(Owner::writes) }) {
                     self.links.remove(&link);
                 }
             }
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use tokio::net::TcpStream;
 
-use super::campaign::{Candidate, campaign};
+use super::campaign::{Candidate, Outcome, campaign};
 use super::frame::{Frame, split};
 use super::{HostState, Input, Loss, OwnerLink, Pending, Question};
 use crate::shard::message::{Answer, CallId, Event, Refusal, Request};
@@ -40,7 +40,7 @@
         match input {
             Input::Call(request, wait, reply) => self.on_call(now, request, wait, reply),
             Input::Owned(epoch, event) => self.owned(now, epoch, event),
-            Input::StoreState(up) => self.on_store(now, up),
+            Input::StoreState(up) => self.on_store(up),
             Input::Announced(announcement) => self.on_announced(now, announcement),
             Input::Campaigned(result) => self.on_campaigned(now, result),
             Input::Registry(epoch, changes) => self.on_registry(now, epoch, changes),
@@ -49,9 +49,9 @@
             }
             Input::Inbound(link, frame) => self.on_inbound(now, link, frame),
             Input::InboundClosed(link) => self.on_inbound_closed(link),
-            Input::Connected(epoch, sender) => self.on_connected(now, epoch, sender),
-            Input::Outbound(epoch, frame) => self.on_outbound(now, epoch, frame),
-            Input::Disconnected(epoch, loss) => self.on_disconnected(now, epoch, loss),
+            Input::Connected(connection, sender) => self.on_connected(now, connection, sender),
+            Input::Outbound(connection, frame) => self.on_outbound(now, connection, frame),
+            Input::Disconnected(connection, loss) => self.on_disconnected(now, connection, loss),
             Input::Advised(question, good) => self.on_advised(now, question, good),
             Input::Fenced(epoch) => self.step_down(now, epoch, "the store has seen a higher epoch"),
             Input::Stop(done) => {
@@ -128,19 +128,15 @@
         }
     }
 
-    pub(super) fn on_store(&mut self, now: Timestamp, up: bool) {
+    pub(super) fn on_store(&mut self, up: bool) {
         if up != self.store {
             log::info!(target: "decision", "dependency name=store outcome={}", if up { "regained" } else { "lost" });
         }
         self.store = up;
-        let epoch = self.epoch;
-        if self.owner.is_some() {
-            self.owned(now, epoch, Event::Store(up));
-        }
     }
 
     fn on_announced(&mut self, now: Timestamp, announcement: Announcement) {
-        self.on_store(now, true);
+        self.on_store(true);
         let epoch = announcement.ownership.epoch;
         if epoch < self.epoch {
             return;
@@ -154,6 +150,8 @@
             self.epoch
         );
         if epoch > self.epoch {
+            self.connecting = false;
+            self.connection += 1;
             if self.owner.is_some() {
                 let old = self.epoch;
                 self.step_down(now, old, "another host has announced a higher epoch");
@@ -180,10 +178,12 @@
 
     fn connect(&mut self) {
         let Some(announcement) = &self.announced else { return };
-        if self.connecting || self.owner.is_some() {
+        if self.connecting || self.link.is_some() || self.owner.is_some() {
             return;
         }
         self.connecting = true;
+        self.connection += 1;
+        let connection = self.connection;
         self.connected = self.ports.clock.now();
         let address = announcement.ownership.address.clone();
         let (epoch, inbox) = (announcement.ownership.epoch, self.inbox.clone());
@@ -193,40 +193,40 @@
                 Ok(Ok(stream)) => stream,
                 Ok(Err(error)) => {
                     log::info!(target: "decision", "owner epoch={epoch} address={address} outcome=unreachable error={error}");
-                    return tell(&inbox, Input::Disconnected(epoch, Loss::Refused)).await;
+                    return tell(&inbox, Input::Disconnected(connection, Loss::Refused)).await;
                 }
-                Err(_) => return tell(&inbox, Input::Disconnected(epoch, Loss::Silent)).await,
+                Err(_) => return tell(&inbox, Input::Disconnected(connection, Loss::Silent)).await,
             };
             let (mut reader, sender) = split(stream);
             if !sender.send(Frame::Hello { host, epoch }) {
-                return tell(&inbox, Input::Disconnected(epoch, Loss::Ended)).await;
+                return tell(&inbox, Input::Disconnected(connection, Loss::Ended)).await;
             }
-            tell(&inbox, Input::Connected(epoch, sender)).await;
+            tell(&inbox, Input::Connected(connection, sender)).await;
             while let Ok(Some(frame)) = reader.next().await {
-                tell(&inbox, Input::Outbound(epoch, frame)).await;
+                tell(&inbox, Input::Outbound(connection, frame)).await;
             }
-            tell(&inbox, Input::Disconnected(epoch, Loss::Ended)).await;
+            tell(&inbox, Input::Disconnected(connection, Loss::Ended)).await;
         });
     }
 
-    fn on_connected(&mut self, now: Timestamp, epoch: crate::shard::Epoch, sender: super::FrameSender) {
-        self.connecting = false;
-        if epoch != self.epoch || self.owner.is_some() {
-            return self.connect();
+    fn on_connected(&mut self, now: Timestamp, connection: u64, sender: super::FrameSender) {
+        if connection != self.connection || self.owner.is_some() {
+            return;
         }
+        self.connecting = false;
         self.link = Some(OwnerLink { sender, heard: now, pinged: now });
         self.cut_since = None;
         self.doubts = 0;
         self.send_all(now);
     }
 
-    fn on_disconnected(&mut self, now: Timestamp, epoch: crate::shard::Epoch, loss: Loss) {
-        self.connecting = false;
-        if epoch != self.epoch || self.owner.is_some() {
-            return self.connect();
+    fn on_disconnected(&mut self, now: Timestamp, connection: u64, loss: Loss) {
+        if connection != self.connection || self.owner.is_some() {
+            return;
         }
+        self.connecting = false;
         self.link = None;
-        log::info!(target: "decision", "owner epoch={epoch} outcome=lost loss={loss:?}");
+        log::info!(target: "decision", "owner epoch={} outcome=lost loss={loss:?}", self.epoch);
         match loss {
             Loss::Ended if now.since(self.connected) > RECONNECT => self.connect(),
             Loss::Ended => {}
@@ -236,8 +236,8 @@
         }
     }
 
-    fn on_outbound(&mut self, now: Timestamp, epoch: crate::shard::Epoch, frame: Frame) {
-        if epoch != self.epoch {
+    fn on_outbound(&mut self, now: Timestamp, connection: u64, frame: Frame) {
+        if connection != self.connection {
             return;
         }
         let Some(link) = &mut self.link else { return };
@@ -247,8 +247,9 @@
             Frame::Advise { number, step, workers } => self.question(Question::Peer(number), step, workers),
             Frame::Pong { store: false, .. } if self.store => self.campaign(now, true),
             Frame::NotOwner => {
+                // The owner itself says so; the condition of the claim protects a later one.
                 self.link = None;
-                self.campaign(now, true);
+                self.campaign(now, false);
             }
             other => log::trace!("owner says {other:?}"),
         }
@@ -278,10 +279,10 @@
         });
     }
 
-    fn on_campaigned(&mut self, now: Timestamp, result: Result<Option<super::Won>, StoreError>) {
+    fn on_campaigned(&mut self, now: Timestamp, result: Result<Outcome, StoreError>) {
         self.campaigning = false;
         match result {
-            Ok(Some(won)) => {
+            Ok(Outcome::Won(won)) => {
                 // The announcement may arrive before the result of the campaign.
                 let announced = self.announced.as_ref().is_some_and(|a| a.ownership == won.ownership);
                 if announced || won.ownership.epoch > self.epoch {
@@ -289,7 +290,13 @@
                 }
                 log::info!(target: "decision", "campaign epoch={} outcome=outrun", won.ownership.epoch);
             }
-            Ok(None) => log::info!(target: "decision", "campaign outcome=\"another host writes\""),
+            Ok(Outcome::Outrun(ownership)) => {
+                log::info!(target: "decision", "campaign epoch={} outcome=outrun", ownership.epoch);
+                if ownership.epoch > self.epoch {
+                    return self.on_announced(now, Announcement { ownership, released: false });
+                }
+            }
+            Ok(Outcome::Alive) => log::info!(target: "decision", "campaign outcome=alive"),
             Err(error) => log::warn!(target: "decision", "campaign outcome=failed error={error}"),
         }
         self.doubts += 1;
@@ -317,7 +324,7 @@
 
     /// Looks for an owner after a failed campaign.
     fn follow(&mut self, now: Timestamp) {
-        if now < self.campaign_after || !self.store {
+        if now < self.campaign_after || !self.store || now.since(self.connected) < RECONNECT {
             return;
         }
         match &self.announced {
--- a/yuccahoist/src/shard/host/run.rs
+++ b/yuccahoist/src/shard/host/run.rs
@@ -52,6 +52,7 @@
         links: BTreeMap::new(),
         link: None,
         connecting: false,
+        connection: 0,
         connected: Timestamp::ZERO,
         campaigning: false,
         campaign_after: Timestamp::ZERO,
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -188,8 +188,6 @@
     WorkerGone(Arc<str>),
     /// The batch in flight is stored.
     Stored,
-    /// The store answers (true) or not (false).
-    Store(bool),
     /// Answer to [`Action::Hold`].
     Held(Life, Result<Report, OrderError>),
     /// Answer to [`Action::Start`].
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -29,6 +29,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(300); // Less than half of the time after which others try to take over.
 /// How old the last confirmed write may be for an answer that only the true owner may give.
 const FRESH: Duration = Duration::from_millis(2_000); // Below the platform's 3 s for a job to be visible.
+/// Age of a write after which the store counts as down for this host.
+const STUCK: Duration = Duration::from_millis(1_000); // Two writes of a slow store, or three lost answers in a row.
 /// Least time between two batches.
 const BATCH_GAP: Duration = Duration::from_millis(12); // One write takes 9 ms; more writes would cost without gain.
 
@@ -52,7 +54,7 @@
 /// Effect of a batch that is stored.
 #[derive(Debug)]
 enum Effect {
-    Reply(super::message::CallId, super::message::Answer),
+    Reply(super::message::CallId, JobKey, super::message::Answer),
     Show(JobKey),
     Start(TaskName, u32),
     Release(Life, u64),
@@ -152,7 +154,6 @@
             Event::Worker(entry) => self.on_worker(now, entry),
             Event::WorkerGone(id) => self.on_gone(now, &id),
             Event::Stored => self.on_stored(now),
-            Event::Store(up) => self.on_store(now, up),
             Event::Held(life, Ok(report)) => self.on_report(now, &life, report),
             Event::Held(life, Err(error)) => self.on_hold_error(now, &life, error),
             Event::Started(task, run, life, result) => self.on_started(now, task, run, &life, result),
@@ -160,6 +161,7 @@
             Event::Advised(step, asked, good) => self.on_advised(now, step, asked, good),
             Event::Tick => {}
         }
+        self.watch_store(now);
         self.on_time(now, wall);
         self.flush(now);
         out.append(&mut self.out);
@@ -172,11 +174,25 @@
         if unsent { (self.flushed + BATCH_GAP).max(now) } else { now + upkeep::INTERVAL }
     }
 
-    fn on_store(&mut self, now: Timestamp, up: bool) {
-        if up && !self.store {
-            self.store_back = now;
+    /// Whether the store answers writes.
+    #[must_use]
+    pub fn writes(&self) -> bool {
+        self.store
+    }
+
+    /// Notes whether the store answers, and refuses what it can't take in time.
+    fn watch_store(&mut self, now: Timestamp) {
+        let stuck = self.flight.as_ref().is_some_and(|(_, sent)| now.since(*sent) > STUCK);
+        if stuck == self.store {
+            self.store = !stuck;
+            log::warn!(target: "decision", "store outcome={} unsent={}", if stuck { "stuck" } else { "back" }, self.batch.jobs.len());
+            if !stuck {
+                self.store_back = now;
+            }
+        }
+        if stuck && !self.batch.jobs.is_empty() {
+            self.refuse_unsent(now);
         }
-        self.store = up;
     }
 
     /// Sends the batch if none is under way.
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -49,7 +49,7 @@
             if job.stored {
                 self.reply(call, Answer::Accepted);
             } else {
-                self.batch.effects.push(Effect::Reply(call, Answer::Accepted));
+                self.batch.effects.push(Effect::Reply(call, key, Answer::Accepted));
                 self.batch.progress.insert(key);
             }
             return;
@@ -78,7 +78,7 @@
         self.begin_due(now, wall, key);
         self.batch.jobs.insert(key);
         self.batch.progress.insert(key);
-        self.batch.effects.push(Effect::Reply(call, Answer::Accepted));
+        self.batch.effects.push(Effect::Reply(call, key, Answer::Accepted));
         self.refresh_job(now, key);
     }
 
@@ -91,6 +91,32 @@
         Load { waiting, cores }.refuse().map(|retry| (Refusal::Overload, retry))
     }
 
+    /// Takes back the jobs that were not handed to the store yet, and refuses them.
+    pub(super) fn refuse_unsent(&mut self, now: Timestamp) {
+        let unsent = std::mem::take(&mut self.batch.jobs);
+        for key in &unsent {
+            self.finish_job(now, *key, JobState::Cancelled);
+        }
+        for key in &unsent {
+            let Some(job) = self.jobs.remove(key) else { continue };
+            log::info!(target: "decision", "submit job={key} queue={} outcome=refused cause=StoreDown", job.spec.queue.name);
+            self.batch.progress.remove(key);
+            self.counters.refused += 1;
+            self.counters.accepted -= 1;
+        }
+        let effects = std::mem::take(&mut self.batch.effects);
+        for effect in effects {
+            match effect {
+                Effect::Reply(call, key, _) if unsent.contains(&key) => {
+                    self.reply(call, Answer::Refused { cause: Refusal::StoreDown, retry: RETURN });
+                }
+                Effect::Show(key) if unsent.contains(&key) => {}
+                Effect::Start(task, _) if unsent.contains(&task.step.job) => {}
+                other => self.batch.effects.push(other),
+            }
+        }
+    }
+
     fn cancel(&mut self, now: Timestamp, call: CallId, key: JobKey) {
         let Some(job) = self.jobs.get_mut(&key) else {
             let answer = self.unknown(now);
@@ -106,6 +132,6 @@
             self.finish_job(now, key, JobState::Cancelled);
         }
         self.batch.progress.insert(key);
-        self.batch.effects.push(Effect::Reply(call, Answer::Cancelled));
+        self.batch.effects.push(Effect::Reply(call, key, Answer::Cancelled));
     }
 }
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -45,7 +45,7 @@
     pub(super) fn apply(&mut self, now: Timestamp, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Reply(call, answer) => self.reply(call, answer),
+                Effect::Reply(call, _, answer) => self.reply(call, answer),
                 Effect::Show(key) => {
                     if let Some(job) = self.jobs.get_mut(&key) {
                         job.shown = job.state;
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -113,9 +113,9 @@
             if candidate.service != queue.service || !wanted || (failed && candidate.doubtful) {
                 continue;
             }
-            let used = |t: &&crate::shard::job::Task| t.place.as_ref().is_some_and(|p| p.life == candidate.life);
             let most = shape.spread.map_or(u32::MAX, |spread| {
-                let there = step.tasks.iter().filter(used).count();
+                // Counts runs that are being stopped and runs that the records place elsewhere.
+                let there = self.workers.get(&candidate.life).map_or(0, |w| w.runs_of(key));
                 spread.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX))
             });
             let room = Room {
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -77,8 +77,14 @@
     /// Starts an epoch with an append numbered `sequence`, if the log still ends at `end`.
     async fn claim(&self, epoch: Epoch, sequence: u64, end: u64, entry: &Entry) -> Result<(), StoreError>;
 
-    /// Appends entries in an epoch; a repeat with the same `sequence` has no further effect.
-    async fn append(&self, epoch: Epoch, sequence: u64, entries: &[Entry]) -> Result<(), StoreError>;
+    /// Appends entries in an epoch; a repeat with the same `sequence` has no further effect. Fails as silent after `limit`.
+    async fn append(
+        &self,
+        epoch: Epoch,
+        sequence: u64,
+        entries: &[Entry],
+        limit: Duration,
+    ) -> Result<(), StoreError>;
 
     /// Announces an ownership.
     async fn announce(&self, announcement: &Announcement) -> Result<(), StoreError>;
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::health::Health;
-use super::id::TaskName;
+use super::id::{StepKey, TaskName};
 use super::lease::Lease;
 use super::message::WorkerEntry;
 use crate::unit::{Resources, Timestamp};
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Number of runs of a step that may be there.
+    #[must_use]
+    pub fn runs_of(&self, step: StepKey) -> usize {
+        self.runs.range((step.task(0), 0)..=(step.task(u32::MAX), u32::MAX)).count()
+    }
+
     /// Resources that no run uses.
     #[must_use]
     pub fn room(&self) -> Resources {
