Count failed runs by their numbers

Change: each task keeps the numbers of its failed runs; an end of an earlier run counts too, and an end that is read twice counts once.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -46,8 +46,8 @@
 pub struct Task {
     /// Highest run number used.
     pub run: u32,
-    /// Runs that ended failed.
-    pub failures: u32,
+    /// Numbers of the runs that ended failed; those of all members for a gang.
+    pub failures: BTreeSet<u32>,
     /// Whether it is done.
     pub done: bool,
     /// Last checkpoint; empty when there is none.
@@ -76,8 +76,6 @@
     pub tasks: Vec<Task>,
     /// Tasks that are done.
     pub done: u32,
-    /// Run of the gang whose failure was counted last.
-    pub failed: u32,
     /// Recommendation.
     pub tickets: Tickets,
 }
@@ -96,6 +94,18 @@
         if spec.gang { !self.complete() && self.tasks.iter().all(waiting) } else { self.tasks.iter().any(waiting) }
     }
 
+    /// Notes that a run failed, of all members if the step is a gang; returns the number of failed runs.
+    pub fn fail(&mut self, spec: &StepSpec, index: u32, run: u32) -> usize {
+        if spec.gang {
+            for task in &mut self.tasks {
+                task.failures.insert(run);
+            }
+        }
+        let failures = &mut self.tasks[index as usize].failures;
+        failures.insert(run);
+        failures.len()
+    }
+
     /// Marks a task as done.
     pub fn finish(&mut self, index: u32) {
         let task = &mut self.tasks[index as usize];
@@ -206,7 +216,7 @@
                     next
                 })
             });
-            TaskProgress { run: task.run, failures: task.failures, done: task.done, place, saved: task.saved.clone() }
+            TaskProgress { run: task.run, failures: task.failures.clone(), done: task.done, place, saved: task.saved.clone() }
         };
         let steps = |o: &Vec<Step>| o.iter().map(|s| s.tasks.iter().map(&mut encode).collect()).collect();
         progress.occurrences = self.occurrences.iter().map(steps).collect::<Vec<Vec<_>>>();
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -163,7 +163,7 @@
         percent: 0,
         moved: now,
     });
-    Task { run: stored.run, failures: stored.failures, done: false, saved: stored.saved.clone(), place }
+    Task { run: stored.run, failures: stored.failures.clone(), done: false, saved: stored.saved.clone(), place }
 }
 
 /// Entry of a worker that the registry has not listed yet.
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -211,8 +211,19 @@
         if current {
             job.live -= 1;
         }
+        // A run also fails whose worker came back after its task was started elsewhere.
+        let failed = kind == EndKind::Failed && run <= entry.run && !shape.lasting;
+        let exhausted = failed && step.fail(shape, task.index, run) >= spec.queue.attempts as usize;
+        if failed {
+            self.counters.failed += 1;
+            self.batch.progress.insert(key.job);
+        }
+        let entry = &mut step.tasks[task.index as usize];
         let counts = current || (shape.copies && kind == EndKind::Done && run <= entry.run);
         if !counts {
+            if exhausted {
+                self.finish_job(now, key.job, JobState::Failed);
+            }
             return;
         }
         log::info!(target: "decision", "end task={task} run={run} worker={life} kind={kind:?}");
@@ -229,25 +240,12 @@
                     step.finish(task.index);
                 }
             }
-            EndKind::Failed => {
-                self.counters.failed += 1;
-                if !shape.gang {
-                    entry.failures += 1;
-                } else if step.failed < run {
-                    step.failed = run;
-                    step.tasks.iter_mut().for_each(|t| t.failures += 1);
-                }
-            }
             EndKind::Lapsed => self.counters.lost += 1,
-            EndKind::Stopped | EndKind::Broken | EndKind::Alone => {}
+            EndKind::Failed | EndKind::Stopped | EndKind::Broken | EndKind::Alone => {}
         }
         if shape.gang && kind != EndKind::Done && !step.complete() && !saved.is_empty() {
             step.tasks.iter_mut().for_each(|t| saved.clone_into(&mut t.saved));
         }
-        let exhausted = !shape.lasting && kind == EndKind::Failed && {
-            let failures = step.tasks[task.index as usize].failures;
-            failures >= spec.queue.attempts
-        };
         self.batch.progress.insert(key.job);
         if exhausted {
             self.finish_job(now, key.job, JobState::Failed);
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -104,7 +104,7 @@
         let queue = &job.spec.queue;
         let advised = queue.advice.is_some();
         let need = shape.reserved();
-        let failed = step.tasks.iter().any(|t| t.failures > 0);
+        let failed = step.tasks.iter().any(|t| !t.failures.is_empty());
         let (mut rooms, mut indexes) = (Vec::new(), Vec::new());
         let (mut known, mut others) = (Vec::new(), Vec::new());
         for (index, candidate) in candidates.iter().enumerate() {
--- a/yuccahoist/src/shard/record.rs
+++ b/yuccahoist/src/shard/record.rs
@@ -2,6 +2,7 @@
 //!
 //! A record with an unknown version or broken bytes is an error that names its key; it never ends the process.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -81,8 +82,8 @@
 pub struct TaskProgress {
     /// Highest run number used.
     pub run: u32,
-    /// Runs that ended failed.
-    pub failures: u32,
+    /// Numbers of the runs that ended failed.
+    pub failures: BTreeSet<u32>,
     /// Whether the task is done.
     pub done: bool,
     /// Index into [`Progress::lives`] of the worker that may run it.
