Give back the recommendation calls of hosts that went silent

Change: the owner drops connections that were silent for five pings; the desk gives the call to another host.

--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -162,6 +162,13 @@
     pinged: Timestamp,
 }
 
+/// Connection of another host to the owner.
+#[derive(Debug)]
+struct PeerLink {
+    sender: FrameSender,
+    heard: Timestamp,
+}
+
 /// State of a host.
 struct HostState {
     settings: HostSettings,
@@ -176,7 +183,7 @@
     owner: Option<Owner>,
     appends: Option<mpsc::Sender<Vec<super::record::Entry>>>,
     store: bool,
-    links: BTreeMap<u64, FrameSender>,
+    links: BTreeMap<u64, PeerLink>,
     link: Option<OwnerLink>,
     connecting: bool,
     connection: u64,
--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -27,8 +27,8 @@
             Action::Reply(call, answer) if call.link == 0 => self.answer(call.number, answer),
             Action::Reply(call, answer) => {
                 let frame = Frame::Answer { number: call.number, answer };
-                if self.links.get(&call.link).is_some_and(|sender| !sender.send(frame)) {
-                    self.links.remove(&call.link);
+                if self.links.get(&call.link).is_some_and(|peer| !peer.sender.send(frame)) {
+                    self.drop_link(call.link);
                 }
             }
             Action::Append(entries) => {
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::frame::Frame;
-use super::relay::tell;
+use super::relay::{SILENCE, tell};
 use super::{HostState, Input, Question, Won};
 use crate::shard::desk::{Desk, Lane};
 use crate::shard::id::{Epoch, StepKey};
@@ -104,8 +104,8 @@
         self.owner = None;
         self.appends = None;
         self.desk = Desk::default();
-        for sender in self.links.values() {
-            if !sender.send(Frame::NotOwner) {
+        for peer in self.links.values() {
+            if !peer.sender.send(Frame::NotOwner) {
                 log::debug!("a host's connection is closed");
             }
         }
@@ -116,19 +116,21 @@
 
     pub(super) fn on_inbound(&mut self, now: Timestamp, link: u64, frame: Frame) {
         let epoch = self.epoch;
-        let Some(sender) = self.links.get(&link).cloned() else { return };
+        let Some(peer) = self.links.get_mut(&link) else { return };
+        peer.heard = now;
+        let sender = peer.sender.clone();
         if self.owner.is_none() {
             // A campaign may have been won already; the peer connects again.
             if !self.campaigning && !sender.send(Frame::NotOwner) {
                 log::debug!("a host's connection is closed");
             }
-            self.links.remove(&link);
+            self.drop_link(link);
             return;
         }
         match frame {
             Frame::Ping => {
                 if !sender.send(Frame::Pong { epoch, store: self.owner.as_ref().is_some_and(Owner::writes) }) {
-                    self.links.remove(&link);
+                    self.drop_link(link);
                 }
             }
             Frame::Call { number, request } => self.owned(now, epoch, Event::Call(CallId { link, number }, request)),
@@ -140,13 +142,24 @@
             }
             Frame::Hello { host, epoch: meant } => {
                 log::info!(target: "decision", "host host={host} epoch={epoch} outcome=turned-away meant={meant}");
-                self.links.remove(&link);
+                self.drop_link(link);
             }
             other => log::trace!("host says {other:?}"),
         }
     }
 
-    pub(super) fn on_inbound_closed(&mut self, link: u64) {
+    /// Drops the connections of hosts that have been silent; such a host may be gone without a reset.
+    pub(super) fn drop_silent(&mut self, now: Timestamp) {
+        let silent = self.links.iter().filter(|(_, peer)| now.since(peer.heard) > SILENCE * 2);
+        let silent: Vec<u64> = silent.map(|(link, _)| *link).collect();
+        for link in silent {
+            log::info!(target: "decision", "host link={link} epoch={} outcome=silent", self.epoch);
+            self.drop_link(link);
+        }
+    }
+
+    /// Drops a connection; what its host was asked is asked of another one.
+    pub(super) fn drop_link(&mut self, link: u64) {
         self.links.remove(&link);
         self.desk.close(Lane::Link(link));
         self.ask_next();
@@ -160,7 +173,7 @@
                 Lane::Own => self.question(Question::Own(self.epoch, number), ask.step, workers),
                 Lane::Link(link) => {
                     let frame = Frame::Advise { number, step: ask.step, workers };
-                    if !self.links.get(&link).is_some_and(|sender| sender.send(frame)) {
+                    if !self.links.get(&link).is_some_and(|peer| peer.sender.send(frame)) {
                         self.links.remove(&link);
                         self.desk.close(lane);
                     }
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -19,7 +19,7 @@
 /// Interval of pings to the owner.
 const PING: Duration = Duration::from_millis(250); // Two are missed before the owner counts as silent.
 /// Silence after which the owner may be gone.
-const SILENCE: Duration = Duration::from_millis(600); // Two pings and a delay.
+pub(super) const SILENCE: Duration = Duration::from_millis(600); // Two pings and a delay.
 /// Time for which a request that was not sent yet waits for an owner.
 const UNSENT: Duration = Duration::from_millis(1_500); // A change of owner takes 0.1 to 1.5 s.
 /// Time without an owner after which the host takes no new callers.
@@ -45,10 +45,10 @@
             Input::Campaigned(result) => self.on_campaigned(now, result),
             Input::Registry(epoch, changes) => self.on_registry(now, epoch, changes),
             Input::Accepted(link, sender) => {
-                self.links.insert(link, sender);
+                self.links.insert(link, super::PeerLink { sender, heard: now });
             }
             Input::Inbound(link, frame) => self.on_inbound(now, link, frame),
-            Input::InboundClosed(link) => self.on_inbound_closed(link),
+            Input::InboundClosed(link) => self.drop_link(link),
             Input::Connected(connection, sender) => self.on_connected(now, connection, sender),
             Input::Outbound(connection, frame) => self.on_outbound(now, connection, frame),
             Input::Disconnected(connection, loss) => self.on_disconnected(now, connection, loss),
@@ -314,6 +314,7 @@
             self.cut_since.get_or_insert(now);
         }
         self.ping(now);
+        self.drop_silent(now);
         if self.owner.is_none() && self.link.is_none() && !self.connecting && !self.campaigning {
             self.follow(now);
         }
