--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -6,13 +6,13 @@
 use super::frame::Frame;
 use super::relay::{SILENCE, tell};
 use super::{HostState, Input, Question, Won};
+use crate::shard::Owner;
 use crate::shard::desk::{Desk, Lane};
 use crate::shard::id::{Epoch, StepKey};
 use crate::shard::message::{CallId, Event};
 use crate::shard::owner::{OwnerOptions, Restored};
 use crate::shard::ports::{Announcement, RegistryChange, Ticket};
 use crate::shard::record::Record;
-use crate::shard::Owner;
 use crate::unit::Timestamp;
 
 /// Interval between reads of the registry.
@@ -129,11 +129,14 @@
         }
         match frame {
             Frame::Ping => {
-                if !sender.send(Frame::Pong { epoch, store: self.owner.as_ref().is_some_and(Owner::writes) }) {
+                if !sender.send(Frame::Pong { epoch, store: self.owner.as_ref().is_some_and(Owner::writes) })
+                {
                     self.drop_link(link);
                 }
             }
-            Frame::Call { number, request } => self.owned(now, epoch, Event::Call(CallId { link, number }, request)),
+            Frame::Call { number, request } => {
+                self.owned(now, epoch, Event::Call(CallId { link, number }, request))
+            }
             Frame::Advised { number, good } => self.lane_free(now, Lane::Link(link), number, good),
             Frame::Hello { host, epoch: meant } if meant == epoch => {
                 log::info!(target: "decision", "host host={host} epoch={epoch} outcome=joined");
@@ -190,7 +193,9 @@
 
     pub(super) fn on_advised(&mut self, now: Timestamp, question: Question, good: Option<Vec<Ticket>>) {
         match question {
-            Question::Own(epoch, number) if epoch == self.epoch => self.lane_free(now, Lane::Own, number, good),
+            Question::Own(epoch, number) if epoch == self.epoch => {
+                self.lane_free(now, Lane::Own, number, good)
+            }
             Question::Own(..) => {}
             Question::Peer(number) => {
                 if let Some(link) = &self.link
--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -91,7 +91,11 @@
     #[must_use]
     pub fn waits(&self, spec: &StepSpec) -> bool {
         let waiting = |t: &Task| !t.done && t.place.is_none();
-        if spec.gang { !self.complete() && self.tasks.iter().all(waiting) } else { self.tasks.iter().any(waiting) }
+        if spec.gang {
+            !self.complete() && self.tasks.iter().all(waiting)
+        } else {
+            self.tasks.iter().any(waiting)
+        }
     }
 
     /// Notes that a run failed, of all members if the step is a gang; returns the number of failed runs.
@@ -202,8 +206,7 @@
     /// What is stored of the job's progress.
     #[must_use]
     pub fn progress(&self) -> Progress {
-        let mut progress =
-            Progress { state: self.state, submitted: self.submitted, ..Progress::default() };
+        let mut progress = Progress { state: self.state, submitted: self.submitted, ..Progress::default() };
         if self.state.is_final() && self.live == 0 {
             return progress;
         }
@@ -216,7 +219,13 @@
                     next
                 })
             });
-            TaskProgress { run: task.run, failures: task.failures.clone(), done: task.done, place, saved: task.saved.clone() }
+            TaskProgress {
+                run: task.run,
+                failures: task.failures.clone(),
+                done: task.done,
+                place,
+                saved: task.saved.clone(),
+            }
         };
         let steps = |o: &Vec<Step>| o.iter().map(|s| s.tasks.iter().map(&mut encode).collect()).collect();
         progress.occurrences = self.occurrences.iter().map(steps).collect::<Vec<Vec<_>>>();
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -7,8 +7,8 @@
 use crate::shard::admission::{Load, UNSTORED};
 use crate::shard::id::JobKey;
 use crate::shard::job::Job;
-use crate::shard::message::{Answer, CallId, Refusal, Request};
 use crate::shard::message::Action;
+use crate::shard::message::{Answer, CallId, Refusal, Request};
 use crate::shard::record::JobState;
 use crate::shard::spec::JobSpec;
 use crate::unit::Timestamp;
@@ -41,7 +41,11 @@
 
     /// Answer about a job that this owner does not know.
     fn unknown(&self, now: Timestamp) -> Answer {
-        if self.fresh(now) { Answer::Unknown } else { Answer::Refused { cause: Refusal::NoOwner, retry: RETURN } }
+        if self.fresh(now) {
+            Answer::Unknown
+        } else {
+            Answer::Refused { cause: Refusal::NoOwner, retry: RETURN }
+        }
     }
 
     fn submit(&mut self, now: Timestamp, wall: u64, call: CallId, key: JobKey, spec: Arc<JobSpec>) {
@@ -86,7 +90,8 @@
         if !self.store || self.batch.jobs.len() >= UNSTORED {
             return Some((Refusal::StoreDown, RETURN));
         }
-        let cores = self.workers.values().filter(|w| w.missing.is_none()).map(|w| w.entry.capacity.cpu.0).sum();
+        let cores =
+            self.workers.values().filter(|w| w.missing.is_none()).map(|w| w.entry.capacity.cpu.0).sum();
         let waiting = self.ranks.keys().filter_map(|s| self.jobs.get(&s.job)).map(|j| j.spec.work()).sum();
         Load { waiting, cores }.refuse().map(|retry| (Refusal::Overload, retry))
     }
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -81,7 +81,13 @@
             owner.restore_job(now, wall, key, spec, &progress);
         }
         for (key, spec) in jobs {
-            owner.restore_job(now, wall, key, Some(spec), &Progress { submitted: wall, ..Progress::default() });
+            owner.restore_job(
+                now,
+                wall,
+                key,
+                Some(spec),
+                &Progress { submitted: wall, ..Progress::default() },
+            );
         }
         owner
     }
@@ -132,7 +138,8 @@
                     let life = stored.place.and_then(|p| progress.lives.get(p as usize));
                     *task = restored_task(now, stored, life);
                     if let Some(place) = &task.place {
-                        let name = crate::shard::id::StepKey { job: key, occurrence, step: number }.task(index);
+                        let name =
+                            crate::shard::id::StepKey { job: key, occurrence, step: number }.task(index);
                         let stub = || Worker::new(unlisted(&place.life), now, inherited);
                         let worker = self.workers.entry(place.life.clone()).or_insert_with(stub);
                         worker.missing = Some(now);
@@ -163,7 +170,13 @@
         percent: 0,
         moved: now,
     });
-    Task { run: stored.run, failures: stored.failures.clone(), done: false, saved: stored.saved.clone(), place }
+    Task {
+        run: stored.run,
+        failures: stored.failures.clone(),
+        done: false,
+        saved: stored.saved.clone(),
+        place,
+    }
 }
 
 /// Entry of a worker that the registry has not listed yet.
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -5,7 +5,7 @@
 
 use super::{Effect, Owner};
 use crate::shard::id::{Life, TaskName};
-use crate::shard::job::Phase;
+use crate::shard::job::{Phase, Placement};
 use crate::shard::message::{ActiveRun, OrderError, Report};
 use crate::shard::worker::Hold;
 use crate::unit::{Resources, Timestamp};
@@ -51,7 +51,9 @@
                 continue;
             }
             let step = &mut job.occurrences[key.occurrence as usize][key.step as usize];
-            let matches = |p: &mut crate::shard::job::Placement| p.run == run && p.life == *life;
+            // An unconfirmed order could still be executed and has to count against the worker's capacity.
+            let confirmed = |p: &Placement| matches!(p.phase, Phase::Running(_) | Phase::Inherited);
+            let matches = |p: &mut Placement| p.run == run && p.life == *life && confirmed(p);
             if step.tasks[task.index as usize].place.take_if(matches).is_some() {
                 job.live -= 1;
                 log::info!(target: "decision", "copy task={task} run={run} worker={life} reason=\"worker is silent\"");
@@ -159,7 +161,13 @@
     }
 
     /// Runs that a report should list and does not.
-    fn on_absent(&mut self, now: Timestamp, life: &Life, sent: Timestamp, listed: &BTreeSet<(TaskName, u32)>) {
+    fn on_absent(
+        &mut self,
+        now: Timestamp,
+        life: &Life,
+        sent: Timestamp,
+        listed: &BTreeSet<(TaskName, u32)>,
+    ) {
         let Some(worker) = self.workers.get(life) else { return };
         let absent: Vec<_> = worker.runs.keys().filter(|key| !listed.contains(key)).copied().collect();
         for (task, run) in absent {
@@ -172,7 +180,9 @@
             match place.phase {
                 Phase::Recording | Phase::Starting | Phase::Stopping(None) => {}
                 Phase::Unsure(at) if at < sent => self.stop(task),
-                Phase::Running(at) | Phase::Stopping(Some(at)) if at < sent => self.drop_place(now, task, run),
+                Phase::Running(at) | Phase::Stopping(Some(at)) if at < sent => {
+                    self.drop_place(now, task, run)
+                }
                 Phase::Inherited => self.drop_place(now, task, run),
                 Phase::Unsure(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
             }
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -29,7 +29,9 @@
         life: &Life,
         result: Result<(), OrderError>,
     ) {
-        let Some(place) = self.placement(task, run, life).filter(|p| p.phase == Phase::Starting) else { return };
+        let Some(place) = self.placement(task, run, life).filter(|p| p.phase == Phase::Starting) else {
+            return;
+        };
         match result {
             Ok(()) => {
                 place.phase = Phase::Running(now);
@@ -48,7 +50,9 @@
                     return;
                 }
                 match error {
-                    OrderError::OtherLife => return self.life_over(now, life, "another incarnation answered"),
+                    OrderError::OtherLife => {
+                        return self.life_over(now, life, "another incarnation answered");
+                    }
                     OrderError::Ticket => self.revoke(task.step, life),
                     _ => {
                         if let Some(worker) = self.workers.get_mut(life) {
@@ -108,7 +112,8 @@
     pub(super) fn stop(&mut self, task: TaskName) {
         let key = task.step;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let entry = &mut job.occurrences[key.occurrence as usize][key.step as usize].tasks[task.index as usize];
+        let entry =
+            &mut job.occurrences[key.occurrence as usize][key.step as usize].tasks[task.index as usize];
         let Some(place) = entry.place.as_mut() else { return };
         match place.phase {
             Phase::Stopping(_) => return,
@@ -202,7 +207,8 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let spec = job.spec.clone();
         let Some(shape) = spec.steps.get(key.step as usize) else { return };
-        let Some(step) = job.occurrences.get_mut(key.occurrence as usize).and_then(|o| o.get_mut(key.step as usize))
+        let Some(step) =
+            job.occurrences.get_mut(key.occurrence as usize).and_then(|o| o.get_mut(key.step as usize))
         else {
             return;
         };
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -69,7 +69,8 @@
     fn candidates(&self, now: Timestamp) -> Vec<Candidate> {
         let isolated = self.workers.values().filter(|w| w.health.isolated(now)).count();
         let ignore = isolated * 2 > self.workers.len();
-        let usable = self.workers.iter().filter(|(_, w)| w.usable(now) && (ignore || !w.health.isolated(now)));
+        let usable =
+            self.workers.iter().filter(|(_, w)| w.usable(now) && (ignore || !w.health.isolated(now)));
         usable
             .map(|(life, worker)| Candidate {
                 life: life.clone(),
@@ -158,7 +159,7 @@
         let spec = job.spec.clone();
         let shape = &spec.steps[key.step as usize];
         let step = &job.occurrences[key.occurrence as usize][key.step as usize];
-        let first = step.tickets.asked.is_empty();
+        let first = spec.queue.advice.is_some() && step.tickets.asked.is_empty();
         let pending = step.tickets.pending;
         let waiting: Vec<u32> = (0u32..)
             .zip(&step.tasks)
@@ -186,7 +187,11 @@
             let run = 1 + waiting
                 .iter()
                 .filter(|_| shape.gang)
-                .map(|i| self.jobs[&key.job].occurrences[key.occurrence as usize][key.step as usize].tasks[*i as usize].run)
+                .map(|i| {
+                    self.jobs[&key.job].occurrences[key.occurrence as usize][key.step as usize].tasks
+                        [*i as usize]
+                        .run
+                })
                 .max()
                 .unwrap_or(0);
             for (index, room) in chosen {
--- a/yuccahoist/src/shard/owner/upkeep.rs
+++ b/yuccahoist/src/shard/owner/upkeep.rs
@@ -52,8 +52,13 @@
                 continue;
             }
             // An unanswered extension could have arrived, so a silent worker's lease is left to expire.
-            let deadline = if extend && worker.answers { worker.lease.extend(now, self.options.lease) } else { None };
-            let wait = if worker.answers && worker.heard && deadline.is_some() { REPORT_WAIT } else { Duration::ZERO };
+            let deadline =
+                if extend && worker.answers { worker.lease.extend(now, self.options.lease) } else { None };
+            let wait = if worker.answers && worker.heard && deadline.is_some() {
+                REPORT_WAIT
+            } else {
+                Duration::ZERO
+            };
             worker.hold = Hold::Asked(now);
             self.out.push(Action::Hold {
                 life: life.clone(),
@@ -68,7 +73,8 @@
     /// Ends what ran on workers whose lease has expired.
     fn lapse(&mut self, now: Timestamp) {
         let expired = |w: &Worker| now >= w.lease.expiry() && !(w.answers && w.heard && w.missing.is_none());
-        let lives: Vec<Life> = self.workers.iter().filter(|(_, w)| expired(w)).map(|(l, _)| l.clone()).collect();
+        let lives: Vec<Life> =
+            self.workers.iter().filter(|(_, w)| expired(w)).map(|(l, _)| l.clone()).collect();
         for life in lives {
             let Some(worker) = self.workers.get(&life) else { continue };
             let runs: Vec<_> = worker.runs.keys().copied().collect();
@@ -136,7 +142,9 @@
                 let Some(entry) = step.tasks.get(task.index as usize) else { continue };
                 let Some(place) = entry.place.as_ref().filter(|p| p.run == *run) else { continue };
                 let together = |t: &crate::shard::job::Task| {
-                    t.place.as_ref().is_some_and(|p| matches!(p.phase, Phase::Running(at) if now > at + STILL))
+                    t.place
+                        .as_ref()
+                        .is_some_and(|p| matches!(p.phase, Phase::Running(at) if now > at + STILL))
                 };
                 let limit = STILL.max(shape.estimate / 4);
                 let at_work = if shape.gang { step.tasks.iter().all(together) } else { together(entry) };
@@ -159,7 +167,9 @@
         let stale: Vec<_> = self
             .ready
             .iter()
-            .take_while(|(rank, _)| rank.band == crate::shard::order::Band::InTime && rank.key < now.as_micros())
+            .take_while(|(rank, _)| {
+                rank.band == crate::shard::order::Band::InTime && rank.key < now.as_micros()
+            })
             .map(|(_, key)| *key)
             .collect();
         for key in stale {
@@ -168,7 +178,9 @@
     }
 
     fn begin_all_due(&mut self, now: Timestamp, wall: u64) {
-        let waiting = |j: &crate::shard::job::Job| !j.state.is_final() && (j.occurrences.len() as u64) < u64::from(j.count());
+        let waiting = |j: &crate::shard::job::Job| {
+            !j.state.is_final() && (j.occurrences.len() as u64) < u64::from(j.count())
+        };
         let keys: Vec<JobKey> = self.jobs.iter().filter(|(_, j)| waiting(j)).map(|(k, _)| *k).collect();
         for key in keys {
             self.begin_due(now, wall, key);
--- a/yuccahoist/src/shard/packing.rs
+++ b/yuccahoist/src/shard/packing.rs
@@ -51,7 +51,8 @@
         let within = |rack: &Option<String>| -> Vec<usize> {
             all.iter().copied().filter(|i| rooms[*i].rack == *rack).collect()
         };
-        let whole = racks.into_iter().filter_map(|rack| spread_over(need, count, &within(rack), rooms)).next();
+        let whole =
+            racks.into_iter().filter_map(|rack| spread_over(need, count, &within(rack), rooms)).next();
         if whole.is_some() {
             return whole;
         }
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -139,7 +139,14 @@
     async fn start(&self, epoch: Epoch, order: StartOrder) -> Result<(), OrderError>;
 
     /// Stops a run.
-    async fn stop(&self, epoch: Epoch, life: Life, address: String, task: TaskName, run: u32) -> Result<(), OrderError>;
+    async fn stop(
+        &self,
+        epoch: Epoch,
+        life: Life,
+        address: String,
+        task: TaskName,
+        run: u32,
+    ) -> Result<(), OrderError>;
 }
 
 /// Ticket of a worker for a step.
--- /dev/null
+++ b/yuccahoist/tests/shard/records.rs
@@ -0,0 +1,62 @@
+//! Records of the store: encoding, and bytes of other writers.
+
+use std::collections::BTreeSet;
+
+use assert_matches::assert_matches;
+use yuccahoist::shard::record::{Entry, JobState, Ownership, Progress, Record, RecordError, TaskProgress};
+use yuccahoist::shard::{Epoch, JobKey, Life};
+
+#[test]
+fn records_survive_the_store() {
+    let task = TaskProgress {
+        run: 3,
+        failures: BTreeSet::from([1, 2]),
+        done: false,
+        place: Some(0),
+        saved: "00000bb8".into(),
+    };
+    let progress = Progress {
+        state: JobState::Running,
+        submitted: 1_790_000_000_000,
+        lives: vec![Life::new("i-1", 7)],
+        occurrences: vec![vec![vec![task]]],
+    };
+    let owner = Ownership { epoch: Epoch(4), address: "10.0.0.1:7700".into(), host: "entry-1".into() };
+    let records = [
+        Record::Owner(owner),
+        Record::Job(JobKey(5), super::world::spec(2, 1_000).into()),
+        Record::Progress(JobKey(5), progress),
+        Record::Forget(JobKey(5)),
+    ];
+    for record in records {
+        let entry = Entry::from(&record);
+        assert_eq!(Record::try_from(&entry).expect("own record"), record);
+    }
+}
+
+#[test]
+fn foreign_bytes_are_errors() {
+    struct Case {
+        name: &'static str,
+        key: &'static str,
+        value: Option<Vec<u8>>,
+    }
+    let cases = [
+        Case { name: "unknown key", key: "x", value: Some(vec![1]) },
+        Case { name: "empty key", key: "", value: Some(vec![1]) },
+        Case { name: "key cut inside a character", key: "ü", value: Some(vec![1]) },
+        Case { name: "other layout", key: "p0000000000000005", value: Some(vec![9, 1, 2]) },
+        Case { name: "no bytes", key: "p0000000000000005", value: Some(Vec::new()) },
+        Case { name: "cut off", key: "j0000000000000005", value: Some(vec![1, 4]) },
+        Case { name: "dropped owner", key: "owner", value: None },
+    ];
+    for case in cases {
+        let entry = Entry { key: case.key.into(), value: case.value };
+        assert_matches!(
+            Record::try_from(&entry),
+            Err(RecordError::Key(_) | RecordError::Version { .. } | RecordError::Value { .. }),
+            "{}",
+            case.name
+        );
+    }
+}
