Hosts that the store does not serve learn the owner from other hosts

Change: the owner tells its hosts of each other; a host without an owner asks them; an owner whose write is not answered for 0.5 s says so, and others claim at once under the log's condition.

--- a/yuccahoist/src/shard/host/frame.rs
+++ b/yuccahoist/src/shard/host/frame.rs
@@ -12,6 +12,7 @@
 use crate::shard::id::{Epoch, StepKey};
 use crate::shard::message::{Answer, Request};
 use crate::shard::ports::Ticket;
+use crate::shard::record::Ownership;
 
 /// Largest frame in bytes.
 const FRAME_LIMIT: u32 = 1 << 20; // A submission of 256 KiB fits with room for its decoded form.
@@ -25,6 +26,8 @@
     Hello {
         /// Host name.
         host: String,
+        /// Its address for other hosts.
+        address: String,
         /// Epoch of the owner that is meant.
         epoch: Epoch,
     },
@@ -67,8 +70,13 @@
         /// Tickets; none when the call failed.
         good: Option<Vec<Ticket>>,
     },
-    /// The sender does not own the shard.
-    NotOwner,
+    /// The owner has accepted the connection, or other hosts have joined: the addresses of all of them.
+    Hosts(Vec<String>),
+    /// The sender does not own the shard, or not in the epoch that was meant.
+    NotOwner {
+        /// Ownership that it knows of.
+        known: Option<Ownership>,
+    },
 }
 
 /// Sending side of a connection.
--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -160,6 +160,8 @@
     sender: FrameSender,
     heard: Timestamp,
     pinged: Timestamp,
+    /// Whether the owner has accepted it.
+    joined: bool,
 }
 
 /// Connection of another host to the owner.
@@ -167,6 +169,7 @@
 struct PeerLink {
     sender: FrameSender,
     heard: Timestamp,
+    address: Option<String>,
 }
 
 /// State of a host.
@@ -187,6 +190,10 @@
     link: Option<OwnerLink>,
     connecting: bool,
     connection: u64,
+    /// Addresses of other hosts, asked for the owner while the store does not answer.
+    hosts: Vec<String>,
+    probing: bool,
+    doubted: bool,
     connected: Timestamp,
     campaigning: bool,
     campaign_after: Timestamp,
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -12,7 +12,7 @@
 use crate::shard::message::{CallId, Event};
 use crate::shard::owner::{OwnerOptions, Restored};
 use crate::shard::ports::{Announcement, RegistryChange, Ticket};
-use crate::shard::record::Record;
+use crate::shard::record::{Ownership, Record};
 use crate::unit::Timestamp;
 
 /// Interval between reads of the registry.
@@ -104,8 +104,10 @@
         self.owner = None;
         self.appends = None;
         self.desk = Desk::default();
+        self.hosts = self.links.values().filter_map(|peer| peer.address.clone()).collect();
+        let known = self.known();
         for peer in self.links.values() {
-            if !peer.sender.send(Frame::NotOwner) {
+            if !peer.sender.send(Frame::NotOwner { known: known.clone() }) {
                 log::debug!("a host's connection is closed");
             }
         }
@@ -121,7 +123,7 @@
         let sender = peer.sender.clone();
         if self.owner.is_none() {
             // A campaign may have been won already; the peer connects again.
-            if !self.campaigning && !sender.send(Frame::NotOwner) {
+            if !self.campaigning && !sender.send(Frame::NotOwner { known: self.known() }) {
                 log::debug!("a host's connection is closed");
             }
             self.drop_link(link);
@@ -138,19 +140,55 @@
                 self.owned(now, epoch, Event::Call(CallId { link, number }, request))
             }
             Frame::Advised { number, good } => self.lane_free(now, Lane::Link(link), number, good),
-            Frame::Hello { host, epoch: meant } if meant == epoch => {
+            Frame::Hello { host, address, epoch: meant } if meant == epoch => {
                 log::info!(target: "decision", "host host={host} epoch={epoch} outcome=joined");
+                peer.address = Some(address);
                 self.desk.open(Lane::Link(link));
+                self.tell_hosts();
                 self.ask_next();
             }
-            Frame::Hello { host, epoch: meant } => {
+            Frame::Hello { host, epoch: meant, .. } => {
                 log::info!(target: "decision", "host host={host} epoch={epoch} outcome=turned-away meant={meant}");
+                if !sender.send(Frame::NotOwner { known: self.known() }) {
+                    log::debug!("a host's connection is closed");
+                }
                 self.drop_link(link);
             }
             other => log::trace!("host says {other:?}"),
         }
     }
 
+    /// Ownership that this host knows of.
+    fn known(&self) -> Option<Ownership> {
+        self.announced.as_ref().filter(|a| !a.released).map(|a| a.ownership.clone())
+    }
+
+    /// Tells all hosts which hosts have joined.
+    fn tell_hosts(&mut self) {
+        let own = self.settings.address.to_string();
+        let joined = self.links.values().filter_map(|peer| peer.address.clone());
+        let hosts: Vec<String> = joined.chain([own]).collect();
+        for peer in self.links.values().filter(|peer| peer.address.is_some()) {
+            if !peer.sender.send(Frame::Hosts(hosts.clone())) {
+                log::debug!("a host's connection is closed");
+            }
+        }
+    }
+
+    /// Tells all hosts at once when the store stops answering, and when it answers again.
+    pub(super) fn tell_doubt(&mut self) {
+        let Some(doubts) = self.owner.as_ref().map(|o| !o.writes()) else { return };
+        if std::mem::replace(&mut self.doubted, doubts) == doubts {
+            return;
+        }
+        let epoch = self.epoch;
+        for peer in self.links.values() {
+            if !peer.sender.send(Frame::Pong { epoch, store: !doubts }) {
+                log::debug!("a host's connection is closed");
+            }
+        }
+    }
+
     /// Drops the connections of hosts that have been silent; such a host may be gone without a reset.
     pub(super) fn drop_silent(&mut self, now: Timestamp) {
         let silent = self.links.iter().filter(|(_, peer)| now.since(peer.heard) > SILENCE * 2);
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -45,7 +45,7 @@
             Input::Campaigned(result) => self.on_campaigned(now, result),
             Input::Registry(epoch, changes) => self.on_registry(now, epoch, changes),
             Input::Accepted(link, sender) => {
-                self.links.insert(link, super::PeerLink { sender, heard: now });
+                self.links.insert(link, super::PeerLink { sender, heard: now, address: None });
             }
             Input::Inbound(link, frame) => self.on_inbound(now, link, frame),
             Input::InboundClosed(link) => self.drop_link(link),
@@ -84,6 +84,7 @@
             return self.owned(now, epoch, Event::Call(CallId { link: 0, number }, request));
         }
         if let Some(link) = &self.link
+            && link.joined
             && link.sender.send(Frame::Call { number, request })
         {
             pending.sent = true;
@@ -137,6 +138,11 @@
 
     fn on_announced(&mut self, now: Timestamp, announcement: Announcement) {
         self.on_store(true);
+        self.learn(now, announcement);
+    }
+
+    /// Learns of an owner from the store or from another host.
+    fn learn(&mut self, now: Timestamp, announcement: Announcement) {
         let epoch = announcement.ownership.epoch;
         if epoch < self.epoch {
             return;
@@ -177,7 +183,12 @@
     }
 
     fn connect(&mut self) {
-        let Some(announcement) = &self.announced else { return };
+        if let Some(announcement) = &self.announced {
+            self.connect_to(announcement.ownership.address.clone(), false);
+        }
+    }
+
+    fn connect_to(&mut self, address: String, probing: bool) {
         if self.connecting || self.link.is_some() || self.owner.is_some() {
             return;
         }
@@ -185,9 +196,13 @@
         self.connection += 1;
         let connection = self.connection;
         self.connected = self.ports.clock.now();
-        let address = announcement.ownership.address.clone();
-        let (epoch, inbox) = (announcement.ownership.epoch, self.inbox.clone());
-        let host = self.settings.name.clone();
+        self.probing = probing;
+        let (epoch, inbox) = (self.epoch, self.inbox.clone());
+        let hello = Frame::Hello {
+            host: self.settings.name.clone(),
+            address: self.settings.address.to_string(),
+            epoch,
+        };
         tokio::spawn(async move {
             let stream = match tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(&address)).await {
                 Ok(Ok(stream)) => stream,
@@ -198,7 +213,7 @@
                 Err(_) => return tell(&inbox, Input::Disconnected(connection, Loss::Silent)).await,
             };
             let (mut reader, sender) = split(stream);
-            if !sender.send(Frame::Hello { host, epoch }) {
+            if !sender.send(hello) {
                 return tell(&inbox, Input::Disconnected(connection, Loss::Ended)).await;
             }
             tell(&inbox, Input::Connected(connection, sender)).await;
@@ -214,10 +229,7 @@
             return;
         }
         self.connecting = false;
-        self.link = Some(OwnerLink { sender, heard: now, pinged: now });
-        self.cut_since = None;
-        self.doubts = 0;
-        self.send_all(now);
+        self.link = Some(OwnerLink { sender, heard: now, pinged: now, joined: false });
     }
 
     fn on_disconnected(&mut self, now: Timestamp, connection: u64, loss: Loss) {
@@ -227,6 +239,9 @@
         self.connecting = false;
         self.link = None;
         log::info!(target: "decision", "owner epoch={} outcome=lost loss={loss:?}", self.epoch);
+        if self.probing {
+            return;
+        }
         match loss {
             Loss::Ended if now.since(self.connected) > RECONNECT => self.connect(),
             Loss::Ended => {}
@@ -245,11 +260,28 @@
         match frame {
             Frame::Answer { number, answer } => self.answer(number, answer),
             Frame::Advise { number, step, workers } => self.question(Question::Peer(number), step, workers),
-            Frame::Pong { store: false, .. } if self.store => self.campaign(now, true),
-            Frame::NotOwner => {
-                // The owner itself says so; the condition of the claim protects a later one.
+            Frame::Pong { store: true, .. } => self.doubts = 0,
+            // The owner can't write, so the condition of the claim holds unless its writes are only not answered.
+            Frame::Pong { store: false, .. } if self.store => self.campaign(now, false),
+            Frame::Hosts(hosts) => {
+                self.hosts = hosts;
+                let Some(link) = &mut self.link else { return };
+                if !link.joined {
+                    link.joined = true;
+                    self.cut_since = None;
+                    self.doubts = 0;
+                    self.send_all(now);
+                }
+            }
+            Frame::NotOwner { known } => {
                 self.link = None;
-                self.campaign(now, false);
+                self.connection += 1;
+                match known.filter(|k| k.epoch > self.epoch) {
+                    Some(ownership) => self.learn(now, Announcement { ownership, released: false }),
+                    None if self.probing => {}
+                    // The owner itself says so; the condition of the claim protects a later one.
+                    None => self.campaign(now, false),
+                }
             }
             other => log::trace!("owner says {other:?}"),
         }
@@ -293,7 +325,7 @@
             Ok(Outcome::Outrun(ownership)) => {
                 log::info!(target: "decision", "campaign epoch={} outcome=outrun", ownership.epoch);
                 if ownership.epoch > self.epoch {
-                    return self.on_announced(now, Announcement { ownership, released: false });
+                    return self.learn(now, Announcement { ownership, released: false });
                 }
             }
             Ok(Outcome::Alive) => log::info!(target: "decision", "campaign outcome=alive"),
@@ -310,12 +342,13 @@
         if self.owner.is_some() {
             self.owned(now, epoch, Event::Tick);
             self.cut_since = None;
-        } else if self.link.is_none() {
+            self.tell_doubt();
+        } else if self.link.as_ref().is_none_or(|link| !link.joined) {
             self.cut_since.get_or_insert(now);
         }
         self.ping(now);
         self.drop_silent(now);
-        if self.owner.is_none() && self.link.is_none() && !self.connecting && !self.campaigning {
+        if self.owner.is_none() && self.link.is_none() && !self.connecting {
             self.follow(now);
         }
         self.expire(now);
@@ -325,15 +358,29 @@
 
     /// Looks for an owner after a failed campaign.
     fn follow(&mut self, now: Timestamp) {
-        if now < self.campaign_after || !self.store || now.since(self.connected) < RECONNECT {
+        if now.since(self.connected) < RECONNECT {
             return;
         }
+        if !self.store || self.campaigning || now < self.campaign_after {
+            // Another host may know the owner, or be it.
+            return self.probe();
+        }
         match &self.announced {
             Some(announcement) if !announcement.released => self.connect(),
             _ => self.campaign(now, false),
         }
     }
 
+    /// Asks the next host for the owner.
+    fn probe(&mut self) {
+        let own = self.settings.address.to_string();
+        self.hosts.retain(|address| *address != own);
+        if !self.hosts.is_empty() {
+            self.hosts.rotate_left(1);
+            self.connect_to(self.hosts[0].clone(), true);
+        }
+    }
+
     fn ping(&mut self, now: Timestamp) {
         let Some(link) = &mut self.link else { return };
         if now.since(link.heard) > SILENCE {
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -29,6 +29,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(300); // Less than half of the time after which others try to take over.
 /// How old the last confirmed write may be for an answer that only the true owner may give.
 const FRESH: Duration = Duration::from_millis(2_000); // Below the platform's 3 s for a job to be visible.
+/// Age of a write after which the owner doubts its path to the store.
+const DOUBT: Duration = Duration::from_millis(500); // A write of a slow store takes 0.4 s.
 /// Age of a write after which the store counts as down for this host.
 const STUCK: Duration = Duration::from_millis(1_000); // Two writes of a slow store, or three lost answers in a row.
 /// Least time between two batches.
@@ -107,6 +109,7 @@
     flushed: Timestamp,
     confirmed: Timestamp,
     store: bool,
+    doubt: bool,
     store_back: Timestamp,
     changed: bool,
     pauses: BTreeMap<(TaskName, u32), Timestamp>,
@@ -174,14 +177,16 @@
         if unsent { (self.flushed + BATCH_GAP).max(now) } else { now + upkeep::INTERVAL }
     }
 
-    /// Whether the store answers writes.
+    /// Whether the store answers writes in time; another host may have a better path to it.
     #[must_use]
     pub fn writes(&self) -> bool {
-        self.store
+        !self.doubt
     }
 
     /// Notes whether the store answers, and refuses what it can't take in time.
     fn watch_store(&mut self, now: Timestamp) {
+        let age = self.flight.as_ref().map_or(Duration::ZERO, |(_, sent)| now.since(*sent));
+        self.doubt = age > DOUBT;
         let stuck = self.flight.as_ref().is_some_and(|(_, sent)| now.since(*sent) > STUCK);
         if stuck == self.store {
             self.store = !stuck;
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -67,6 +67,7 @@
             flushed: Timestamp::ZERO,
             confirmed: now,
             store: true,
+            doubt: false,
             store_back: now,
             changed: true,
             pauses: BTreeMap::new(),
