--- a/yuccahoist/src/logging.rs
+++ b/yuccahoist/src/logging/mod.rs
@@ -1,12 +1,17 @@
 //! Log lines by `logforth`, and the line of each decision.
 
+mod bounded;
+
 use std::fmt;
+use std::sync::Arc;
 
 use logforth::append;
 use logforth::bridge::log::LogBridge;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
 
+pub use self::bounded::LineCounts;
+use self::bounded::{Bounded, Collected};
 use crate::event::HostDecision;
 use crate::settings::{LogFormat, LogLevel, LoggingSettings};
 
@@ -39,19 +44,24 @@
     });
 }
 
-/// Sends the lines of the `log` macros of this process to standard output, as JSON.
+/// Sends the lines of the `log` macros of this project to standard output, as JSON, by a thread of its own.
 ///
-/// Has no effect when the process has a logger already.
-pub fn install_stdout() {
-    let sink = append::Stdout::default().with_layout(JsonLayout::default());
+/// Lines are dropped and counted when the output is slow or their rate is too high. Has no effect when the process has a
+/// logger already.
+#[must_use]
+pub fn install_stdout() -> Arc<LineCounts> {
+    let counts = Arc::new(LineCounts::default());
+    let sink =
+        Box::new(Bounded::new(Collected::new(counts.clone()), counts.clone())) as Box<dyn logforth::Append>;
     let logger = logforth::core::builder()
         .dispatch(|dispatch| dispatch.filter(LevelFilter::MoreSevereEqual(Level::Info)).append(sink))
         .build();
     if log::set_boxed_logger(Box::new(LogBridge::new(logger))).is_err() {
         log::debug!("the process has a logger already");
-        return;
+        return counts;
     }
     log::set_max_level(log::LevelFilter::Info);
+    counts
 }
 
 /// Writes one line for a decision.
