Look only at recommended workers when placing a step

Cause: the owner of the grown yard spent its processor on passes: each tried up to 250 steps against 350 workers, with copies of names for each. Change: a step with a recommendation looks at the workers named for it; names are shared; ranks are worked out again only for placed steps.

--- a/yuccahoist/src/logging/bounded.rs
+++ b/yuccahoist/src/logging/bounded.rs
@@ -89,7 +89,6 @@
 #[derive(Debug, Default)]
 struct Lines {
     bytes: Vec<u8>,
-    number: u64,
 }
 
 impl Collected {
@@ -108,9 +107,12 @@
 
 fn write_out(lines: &Mutex<Lines>, counts: &LineCounts) {
     let taken = std::mem::take(&mut *lines.lock().unwrap_or_else(PoisonError::into_inner));
-    // A closed output leaves nowhere to report the error.
-    if std::io::stdout().write_all(&taken.bytes).is_ok() {
-        counts.written.fetch_add(taken.number, Ordering::Relaxed);
+    let mut output = std::io::stdout().lock();
+    for line in taken.bytes.split_inclusive(|byte| *byte == b'\n') {
+        // A closed output leaves nowhere to report the error.
+        if output.write_all(line).is_ok() {
+            counts.written.fetch_add(1, Ordering::Relaxed);
+        }
     }
 }
 
@@ -121,7 +123,6 @@
         if lines.bytes.len() + line.len() < BYTES {
             lines.bytes.extend_from_slice(&line);
             lines.bytes.push(b'\n');
-            lines.number += 1;
         }
         Ok(())
     }
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -77,15 +77,15 @@
     /// Incarnation.
     pub life: Life,
     /// Service.
-    pub service: String,
+    pub service: Arc<str>,
     /// Address.
     pub address: String,
     /// Availability zone.
     pub zone: String,
     /// Rack, if it names one.
-    pub rack: Option<String>,
+    pub rack: Option<Arc<str>>,
     /// Labels.
-    pub labels: Vec<String>,
+    pub labels: Arc<[String]>,
     /// Capacity.
     pub capacity: Resources,
     /// Whether it is leaving.
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -184,11 +184,11 @@
 fn unlisted(life: &Life) -> WorkerEntry {
     WorkerEntry {
         life: life.clone(),
-        service: String::new(),
+        service: "".into(),
         address: String::new(),
         zone: String::new(),
         rack: None,
-        labels: Vec::new(),
+        labels: [].into(),
         capacity: Resources::ZERO,
         draining: false,
         remaining: None,
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -3,7 +3,8 @@
 //! Answers a mix of gangs and small tasks on a nearly full fleet: steps are tried in the order of their rank; the first
 //! gang that does not fit keeps workers for itself, and later steps that are less urgent leave these alone.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use super::{Effect, Owner};
 use crate::shard::id::{Life, StepKey};
@@ -23,14 +24,31 @@
 #[derive(Debug)]
 struct Candidate {
     life: Life,
-    service: String,
+    service: Arc<str>,
     free: Resources,
     whole: Resources,
-    rack: Option<String>,
-    labels: Vec<String>,
+    rack: Option<Arc<str>>,
+    labels: Arc<[String]>,
     doubtful: bool,
 }
 
+/// Workers of a pass, and where each is found.
+#[derive(Debug)]
+struct Candidates {
+    list: Vec<Candidate>,
+    index: BTreeMap<Life, usize>,
+}
+
+/// Where a step could be placed.
+#[derive(Debug, Default)]
+struct Options {
+    rooms: Vec<Room>,
+    /// Index of the candidate of each room.
+    indexes: Vec<usize>,
+    /// Workers with room that were recommended before and need a new ticket.
+    known: Vec<Life>,
+}
+
 /// How a step fared.
 enum Fit {
     Placed,
@@ -53,7 +71,10 @@
                 break;
             }
             match self.place_step(now, key, &mut candidates, &kept) {
-                Fit::Placed => misses = 0,
+                Fit::Placed => {
+                    misses = 0;
+                    self.refresh_quietly(now, key);
+                }
                 Fit::Asking => {}
                 Fit::NoRoom => {
                     misses += 1;
@@ -62,16 +83,15 @@
                     }
                 }
             }
-            self.refresh_quietly(now, key);
         }
     }
 
-    fn candidates(&self, now: Timestamp) -> Vec<Candidate> {
+    fn candidates(&self, now: Timestamp) -> Candidates {
         let isolated = self.workers.values().filter(|w| w.health.isolated(now)).count();
         let ignore = isolated * 2 > self.workers.len();
         let usable =
             self.workers.iter().filter(|(_, w)| w.usable(now) && (ignore || !w.health.isolated(now)));
-        usable
+        let list: Vec<Candidate> = usable
             .map(|(life, worker)| Candidate {
                 life: life.clone(),
                 service: worker.entry.service.clone(),
@@ -81,7 +101,9 @@
                 labels: worker.entry.labels.clone(),
                 doubtful: worker.health.doubtful(now),
             })
-            .collect()
+            .collect();
+        let index = list.iter().enumerate().map(|(index, c)| (c.life.clone(), index)).collect();
+        Candidates { list, index }
     }
 
     /// Rank without asking for another pass.
@@ -91,82 +113,98 @@
         self.changed = changed;
     }
 
-    /// Rooms for a step, with the indexes of their candidates.
-    fn rooms(
+    /// Rooms for a step. A step with a recommendation looks only at the workers that were named for it.
+    fn options(
         &self,
         now: Timestamp,
         key: StepKey,
-        shape: &StepSpec,
-        candidates: &[Candidate],
+        candidates: &Candidates,
         kept: &BTreeSet<Life>,
-    ) -> (Vec<Room>, Vec<usize>, Vec<Life>, Vec<Life>) {
-        let job = &self.jobs[&key.job];
+    ) -> Options {
+        let mut options = Options::default();
+        let Some(job) = self.jobs.get(&key.job) else { return options };
+        let shape = &job.spec.steps[key.step as usize];
         let step = &job.occurrences[key.occurrence as usize][key.step as usize];
         let queue = &job.spec.queue;
-        let advised = queue.advice.is_some();
-        let need = shape.reserved();
         let failed = step.tasks.iter().any(|t| !t.failures.is_empty());
-        let (mut rooms, mut indexes) = (Vec::new(), Vec::new());
-        let (mut known, mut others) = (Vec::new(), Vec::new());
-        for (index, candidate) in candidates.iter().enumerate() {
-            let wanted = shape.label.as_ref().is_none_or(|l| candidate.labels.contains(l));
+        let need = shape.reserved();
+        let mut consider = |index: usize, ticket: bool| {
+            let candidate = &candidates.list[index];
             let blocked = queue.priority > 0 && kept.contains(&candidate.life);
-            if candidate.service != queue.service || !wanted || (failed && candidate.doubtful) {
-                continue;
+            let suits = suits(candidate, &queue.service, shape);
+            if !suits || blocked || (failed && candidate.doubtful) || !need.fits(candidate.free) {
+                return;
             }
             let most = shape.spread.map_or(u32::MAX, |spread| {
                 // Counts runs that are being stopped and runs that the records place elsewhere.
                 let there = self.workers.get(&candidate.life).map_or(0, |w| w.runs_of(key));
                 spread.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX))
             });
-            let room = Room {
+            if most == 0 {
+                return;
+            }
+            if !ticket {
+                return options.known.push(candidate.life.clone());
+            }
+            options.indexes.push(index);
+            options.rooms.push(Room {
                 life: candidate.life.clone(),
                 free: candidate.free,
                 rack: candidate.rack.clone(),
                 most,
-                near: shape.data_rack.is_none() || shape.data_rack == candidate.rack,
+                near: shape.data_rack.is_none() || shape.data_rack.as_deref() == candidate.rack.as_deref(),
                 doubtful: candidate.doubtful,
-            };
-            let fits = packing::copies(need, &room) > 0;
-            if advised && !step.tickets.asked.contains(&candidate.life) {
-                if need.fits(candidate.whole) {
-                    others.push((!fits, u64::MAX - candidate.free.cpu.0, candidate.life.clone()));
-                }
-                continue;
-            }
-            if !fits || blocked {
-                continue;
-            }
-            if Self::has_ticket(&step.tickets, advised, &candidate.life, now) {
-                rooms.push(room);
-                indexes.push(index);
-            } else if step.tickets.good.contains_key(&candidate.life) {
-                known.push(candidate.life.clone());
+            });
+        };
+        if queue.advice.is_none() {
+            (0..candidates.list.len()).for_each(|index| consider(index, true));
+            return options;
+        }
+        for (life, (_, until)) in &step.tickets.good {
+            if let Some(index) = candidates.index.get(life) {
+                consider(*index, Self::ticket_holds(now, *until));
             }
         }
-        others.sort();
-        (rooms, indexes, known, others.into_iter().map(|(_, _, life)| life).collect())
+        options
+    }
+
+    /// Workers that could run a step and were never asked about, those with most room first.
+    fn unasked(&self, key: StepKey, candidates: &Candidates) -> Vec<Life> {
+        let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
+        let shape = &job.spec.steps[key.step as usize];
+        let step = &job.occurrences[key.occurrence as usize][key.step as usize];
+        let need = shape.reserved();
+        let open = |c: &&Candidate| {
+            suits(c, &job.spec.queue.service, shape)
+                && need.fits(c.whole)
+                && !step.tickets.asked.contains(&c.life)
+        };
+        let mut others: Vec<&Candidate> = candidates.list.iter().filter(open).collect();
+        others.sort_by_key(|c| (!need.fits(c.free), std::cmp::Reverse(c.free.cpu)));
+        others.into_iter().map(|c| c.life.clone()).collect()
     }
 
     fn place_step(
         &mut self,
         now: Timestamp,
         key: StepKey,
-        candidates: &mut [Candidate],
+        candidates: &mut Candidates,
         kept: &BTreeSet<Life>,
     ) -> Fit {
         let Some(job) = self.jobs.get(&key.job) else { return Fit::NoRoom };
         let spec = job.spec.clone();
         let shape = &spec.steps[key.step as usize];
         let step = &job.occurrences[key.occurrence as usize][key.step as usize];
-        let first = spec.queue.advice.is_some() && step.tickets.asked.is_empty();
-        let pending = step.tickets.pending;
-        let waiting: Vec<u32> = (0u32..)
-            .zip(&step.tasks)
-            .filter(|(_, t)| !t.done && t.place.is_none())
-            .map(|(index, _)| index)
-            .collect();
-        let (mut rooms, indexes, known, others) = self.rooms(now, key, shape, candidates, kept);
+        let advised = spec.queue.advice.is_some();
+        let first = advised && step.tickets.asked.is_empty();
+        let can_ask = advised && !step.tickets.pending && now >= step.tickets.next;
+        if first && step.tickets.pending {
+            return Fit::Asking;
+        }
+        let waiting = (0u32..).zip(&step.tasks).filter(|(_, t)| !t.done && t.place.is_none());
+        let waiting: Vec<u32> = waiting.map(|(index, _)| index).collect();
+        let highest = step.tasks.iter().map(|t| t.run).max().unwrap_or(0);
+        let Options { mut rooms, indexes, known } = self.options(now, key, candidates, kept);
         let need = shape.reserved();
         let mut chosen = Vec::new();
         if shape.gang {
@@ -183,32 +221,21 @@
             }
         }
         let missing = chosen.len() < waiting.len();
-        if !chosen.is_empty() {
-            let run = 1 + waiting
-                .iter()
-                .filter(|_| shape.gang)
-                .map(|i| {
-                    self.jobs[&key.job].occurrences[key.occurrence as usize][key.step as usize].tasks
-                        [*i as usize]
-                        .run
-                })
-                .max()
-                .unwrap_or(0);
-            for (index, room) in chosen {
-                let candidate = &mut candidates[indexes[room]];
-                candidate.free = candidate.free.saturating_sub(need);
-                let life = candidate.life.clone();
-                self.place(now, key, index, shape.gang.then_some(run), life, need);
-            }
+        for (index, room) in chosen {
+            let candidate = &mut candidates.list[indexes[room]];
+            candidate.free = candidate.free.saturating_sub(need);
+            let life = candidate.life.clone();
+            self.place(now, key, index, shape.gang.then_some(highest + 1), life, need);
         }
         if !missing {
             return Fit::Placed;
         }
-        if spec.queue.advice.is_some() && (!known.is_empty() || !others.is_empty()) {
+        if can_ask {
             // Workers that were named before are asked about again only where they have room now.
+            let others = if known.is_empty() { self.unasked(key, candidates) } else { Vec::new() };
             self.ask(now, key, known, others);
         }
-        if first || pending { Fit::Asking } else { Fit::NoRoom }
+        if first { Fit::Asking } else { Fit::NoRoom }
     }
 
     fn place(
@@ -239,7 +266,7 @@
     }
 
     /// Keeps workers for a gang that does not fit; false when the step is no gang or could never fit on them.
-    fn keep_for(&self, key: StepKey, candidates: &[Candidate], kept: &mut BTreeSet<Life>) -> bool {
+    fn keep_for(&self, key: StepKey, candidates: &Candidates, kept: &mut BTreeSet<Life>) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let shape = &job.spec.steps[key.step as usize];
         if !shape.gang {
@@ -249,12 +276,11 @@
         let need = shape.reserved();
         let advised = job.spec.queue.advice.is_some();
         let allowed = |c: &&Candidate| {
-            c.service == job.spec.queue.service
+            suits(c, &job.spec.queue.service, shape)
                 && !kept.contains(&c.life)
-                && shape.label.as_ref().is_none_or(|l| c.labels.contains(l))
                 && (!advised || step.tickets.good.contains_key(&c.life))
         };
-        let mut usable: Vec<&Candidate> = candidates.iter().filter(allowed).collect();
+        let mut usable: Vec<&Candidate> = candidates.list.iter().filter(allowed).collect();
         usable.sort_by_key(|c| std::cmp::Reverse(c.free.cpu));
         let mut left = shape.tasks;
         let mut chosen = Vec::new();
@@ -273,3 +299,8 @@
         false
     }
 }
+
+/// Whether a worker is one of those that a step may use at all.
+fn suits(candidate: &Candidate, service: &str, shape: &StepSpec) -> bool {
+    *candidate.service == *service && shape.label.as_ref().is_none_or(|l| candidate.labels.contains(l))
+}
--- a/yuccahoist/src/shard/owner/tickets.rs
+++ b/yuccahoist/src/shard/owner/tickets.rs
@@ -8,7 +8,6 @@
 
 use super::Owner;
 use crate::shard::id::{Life, StepKey};
-use crate::shard::job::Tickets;
 use crate::shard::message::Action;
 use crate::shard::spec::{AdviceCost, StepSpec};
 use crate::unit::Timestamp;
@@ -29,9 +28,9 @@
 const AGAIN: Duration = Duration::from_millis(200); // Less than one call of the slowest queue.
 
 impl Owner {
-    /// Whether a worker may run a step now; true for queues without a recommendation.
-    pub(super) fn has_ticket(tickets: &Tickets, advised: bool, life: &Life, now: Timestamp) -> bool {
-        !advised || tickets.good.get(life).is_some_and(|(_, until)| now + RESERVE / 2 < *until)
+    /// Whether a ticket that expires at `until` can still be used for a start that is decided now.
+    pub(super) fn ticket_holds(now: Timestamp, until: Timestamp) -> bool {
+        now + RESERVE / 2 < until
     }
 
     /// Asks for tickets of a step, if the ones that it has do not do.
@@ -71,7 +70,7 @@
         let shape = &job.spec.steps[key.step as usize];
         let need = shape.reserved();
         let suits = |w: &&crate::shard::worker::Worker| {
-            w.entry.service == job.spec.queue.service
+            *w.entry.service == *job.spec.queue.service
                 && need.fits(w.entry.capacity)
                 && shape.label.as_ref().is_none_or(|l| w.entry.labels.contains(l))
                 && w.usable(now)
--- a/yuccahoist/src/shard/packing.rs
+++ b/yuccahoist/src/shard/packing.rs
@@ -3,6 +3,8 @@
 //! Answers a fleet that is four fifths full with gangs of large tasks: single tasks take the tightest room that holds
 //! them, so that large rooms stay whole, and a gang takes the workers that it fills best.
 
+use std::sync::Arc;
+
 use crate::shard::id::Life;
 use crate::unit::Resources;
 
@@ -14,7 +16,7 @@
     /// Free resources.
     pub free: Resources,
     /// Rack.
-    pub rack: Option<String>,
+    pub rack: Option<Arc<str>>,
     /// Most further tasks of the step, by its spread.
     pub most: u32,
     /// Whether the step's data is near.
@@ -45,10 +47,10 @@
 pub fn gang(need: Resources, count: u32, one_rack: bool, rooms: &[Room]) -> Option<Vec<usize>> {
     let all: Vec<usize> = (0..rooms.len()).collect();
     if one_rack {
-        let mut racks: Vec<&Option<String>> = rooms.iter().map(|r| &r.rack).collect();
+        let mut racks: Vec<&Option<Arc<str>>> = rooms.iter().map(|r| &r.rack).collect();
         racks.sort();
         racks.dedup();
-        let within = |rack: &Option<String>| -> Vec<usize> {
+        let within = |rack: &Option<Arc<str>>| -> Vec<usize> {
             all.iter().copied().filter(|i| rooms[*i].rack == *rack).collect()
         };
         let whole =
