Work that saves checkpoints gives way to gangs; late gangs keep workers

Cause: on the grown yard a reline plan waited 4 s and more for room on the workers that may run it, and late ones starved behind steps that could still be in time. Change: a gang that does not fit keeps workers, tasks of lower rank that save are stopped there, and its tickets are renewed before the room is there; two late gangs may keep workers first. A successor waits 6 s instead of 10 s for leases that it can't know.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -78,6 +78,8 @@
     pub done: u32,
     /// Recommendation.
     pub tickets: Tickets,
+    /// When other work was last stopped for this step.
+    pub cleared: Timestamp,
 }
 
 impl Step {
--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -11,7 +11,7 @@
 pub const CLOCK_RATE: f64 = 0.98; // Given by the platform: a worker's clock may be 2 % slow.
 /// Longest time that an owner keeps extending leases after its last confirmed write; a successor waits it out for
 /// workers that it can't reach.
-pub const UNCONFIRMED: Duration = Duration::from_secs(10); // Outages of the store of up to 9 s leave work running.
+pub const UNCONFIRMED: Duration = Duration::from_secs(6); // A full outage of the store lasts about 5 s.
 /// Lease given to workers; shorter than the platform's maximum, because a dead worker's tasks wait for it.
 pub const LEASE: Duration = Duration::from_millis(4_000); // Covers a change of owner and a power cut of all hosts of 1.5 s.
 
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod effects;
+mod preempt;
 mod recover;
 mod reports;
 mod runs;
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -9,6 +9,7 @@
 use super::{Effect, Owner};
 use crate::shard::id::{Life, StepKey};
 use crate::shard::job::{Phase, Placement};
+use crate::shard::order::{Band, Rank};
 use crate::shard::packing::{self, Room};
 use crate::shard::spec::StepSpec;
 use crate::unit::{Resources, Timestamp};
@@ -20,13 +21,16 @@
 /// Gangs for which workers are kept at a time.
 const KEPT_GANGS: usize = 2; // More would leave most of the fleet waiting for gangs.
 
+/// Late gangs that are placed before steps that can be in time; without them a steady load would starve them.
+const LATE_GANGS: usize = 2; // Each keeps a few workers for some seconds.
+
 /// Worker with the room that it has left in this pass.
 #[derive(Debug)]
-struct Candidate {
-    life: Life,
+pub(super) struct Candidate {
+    pub(super) life: Life,
     service: Arc<str>,
-    free: Resources,
-    whole: Resources,
+    pub(super) free: Resources,
+    pub(super) whole: Resources,
     rack: Option<Arc<str>>,
     labels: Arc<[String]>,
     doubtful: bool,
@@ -34,8 +38,8 @@
 
 /// Workers of a pass, and where each is found.
 #[derive(Debug)]
-struct Candidates {
-    list: Vec<Candidate>,
+pub(super) struct Candidates {
+    pub(super) list: Vec<Candidate>,
     index: BTreeMap<Life, usize>,
 }
 
@@ -66,6 +70,13 @@
         let mut kept: BTreeSet<Life> = BTreeSet::new();
         let mut gangs = 0;
         let mut misses = 0;
+        for key in self.late_gangs() {
+            if let Fit::NoRoom = self.place_step(now, key, &mut candidates, &kept) {
+                self.make_room(now, key, &candidates, &mut kept);
+            } else {
+                self.refresh_quietly(now, key);
+            }
+        }
         for key in order {
             if misses >= MISSES {
                 break;
@@ -78,7 +89,7 @@
                 Fit::Asking => {}
                 Fit::NoRoom => {
                     misses += 1;
-                    if gangs < KEPT_GANGS && self.keep_for(key, &candidates, &mut kept) {
+                    if gangs < KEPT_GANGS && self.make_room(now, key, &candidates, &mut kept) {
                         gangs += 1;
                     }
                 }
@@ -86,6 +97,15 @@
         }
     }
 
+    /// Late gangs that may keep workers before steps that can be in time.
+    fn late_gangs(&self) -> Vec<StepKey> {
+        let from = (Rank { band: Band::Late, key: 0 }, StepKey::FIRST);
+        let late = self.ready.range(from..).take_while(|(rank, _)| rank.band == Band::Late);
+        let gang =
+            |key: &StepKey| self.jobs.get(&key.job).is_some_and(|j| j.spec.steps[key.step as usize].gang);
+        late.map(|(_, key)| *key).filter(gang).take(LATE_GANGS).collect()
+    }
+
     fn candidates(&self, now: Timestamp) -> Candidates {
         let isolated = self.workers.values().filter(|w| w.health.isolated(now)).count();
         let ignore = isolated * 2 > self.workers.len();
@@ -264,43 +284,9 @@
         self.batch.progress.insert(key.job);
         self.batch.effects.push(Effect::Start(name, run));
     }
-
-    /// Keeps workers for a gang that does not fit; false when the step is no gang or could never fit on them.
-    fn keep_for(&self, key: StepKey, candidates: &Candidates, kept: &mut BTreeSet<Life>) -> bool {
-        let Some(job) = self.jobs.get(&key.job) else { return false };
-        let shape = &job.spec.steps[key.step as usize];
-        if !shape.gang {
-            return false;
-        }
-        let step = &job.occurrences[key.occurrence as usize][key.step as usize];
-        let need = shape.reserved();
-        let advised = job.spec.queue.advice.is_some();
-        let allowed = |c: &&Candidate| {
-            suits(c, &job.spec.queue.service, shape)
-                && !kept.contains(&c.life)
-                && (!advised || step.tickets.good.contains_key(&c.life))
-        };
-        let mut usable: Vec<&Candidate> = candidates.list.iter().filter(allowed).collect();
-        usable.sort_by_key(|c| std::cmp::Reverse(c.free.cpu));
-        let mut left = shape.tasks;
-        let mut chosen = Vec::new();
-        for candidate in usable {
-            let copies = crate::placement::policy::copies(need, candidate.whole);
-            if copies == 0 {
-                continue;
-            }
-            chosen.push(candidate.life.clone());
-            left = left.saturating_sub(copies.min(shape.spread.unwrap_or(u32::MAX)));
-            if left == 0 {
-                kept.extend(chosen);
-                return true;
-            }
-        }
-        false
-    }
 }
 
 /// Whether a worker is one of those that a step may use at all.
-fn suits(candidate: &Candidate, service: &str, shape: &StepSpec) -> bool {
+pub(super) fn suits(candidate: &Candidate, service: &str, shape: &StepSpec) -> bool {
     *candidate.service == *service && shape.label.as_ref().is_none_or(|l| candidate.labels.contains(l))
 }
