Take back: late gangs before steps that can be in time

Late gangs gained little and delayed work that was in time. Wide gangs that are late still wait until the load falls; that stays open.

--- a/yuccahoist/src/shard/id.rs
+++ b/yuccahoist/src/shard/id.rs
@@ -65,9 +65,6 @@
 }
 
 impl StepKey {
-    /// Smallest key.
-    pub const FIRST: Self = Self { job: JobKey(0), occurrence: 0, step: 0 };
-
     /// Task of the step.
     #[must_use]
     pub const fn task(self, index: u32) -> TaskName {
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -9,7 +9,6 @@
 use super::{Effect, Owner};
 use crate::shard::id::{Life, StepKey};
 use crate::shard::job::{Phase, Placement};
-use crate::shard::order::{Band, Rank};
 use crate::shard::packing::{self, Room};
 use crate::shard::spec::StepSpec;
 use crate::unit::{Resources, Timestamp};
@@ -21,9 +20,6 @@
 /// Gangs for which workers are kept at a time.
 const KEPT_GANGS: usize = 2; // More would leave most of the fleet waiting for gangs.
 
-/// Late gangs that are placed before steps that can be in time; without them a steady load would starve them.
-const LATE_GANGS: usize = 2; // Each keeps a few workers for some seconds.
-
 /// Worker with the room that it has left in this pass.
 #[derive(Debug)]
 pub(super) struct Candidate {
@@ -70,13 +66,6 @@
         let mut kept: BTreeSet<Life> = BTreeSet::new();
         let mut gangs = 0;
         let mut misses = 0;
-        for key in self.late_gangs() {
-            if let Fit::NoRoom = self.place_step(now, key, &mut candidates, &kept) {
-                self.make_room(now, key, &candidates, &mut kept);
-            } else {
-                self.refresh_quietly(now, key);
-            }
-        }
         for key in order {
             if misses >= MISSES {
                 break;
@@ -97,15 +86,6 @@
         }
     }
 
-    /// Late gangs that may keep workers before steps that can be in time.
-    fn late_gangs(&self) -> Vec<StepKey> {
-        let from = (Rank { band: Band::Late, key: 0 }, StepKey::FIRST);
-        let late = self.ready.range(from..).take_while(|(rank, _)| rank.band == Band::Late);
-        let gang =
-            |key: &StepKey| self.jobs.get(&key.job).is_some_and(|j| j.spec.steps[key.step as usize].gang);
-        late.map(|(_, key)| *key).filter(gang).take(LATE_GANGS).collect()
-    }
-
     fn candidates(&self, now: Timestamp) -> Candidates {
         let isolated = self.workers.values().filter(|w| w.health.isolated(now)).count();
         let ignore = isolated * 2 > self.workers.len();
