--- a/yuccahoist/src/shard/desk.rs
+++ b/yuccahoist/src/shard/desk.rs
@@ -71,7 +71,7 @@
     }
 
     /// Next call with its number and the host that makes it, if there is a free one for it.
-    pub fn next(&mut self) -> Option<(Lane, u64, Ask)> {
+    pub fn take(&mut self) -> Option<(Lane, u64, Ask)> {
         let free = self.lanes.iter().find(|(_, ask)| ask.is_none()).map(|(lane, _)| *lane)?;
         let slow = self.lanes.values().flatten().filter(|(_, ask)| ask.cost > QUICK).count();
         let most = (self.lanes.len() - self.lanes.len() / QUICK_SHARE).max(1);
--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -104,7 +104,7 @@
 }
 
 /// Who asked this host for a recommendation.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Question {
     /// This host's own shard.
     Own(Epoch, u64),
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -137,7 +137,7 @@
                 }
             }
             Frame::Call { number, request } => {
-                self.owned(now, epoch, Event::Call(CallId { link, number }, request))
+                self.owned(now, epoch, Event::Call(CallId { link, number }, request));
             }
             Frame::Advised { number, good } => self.lane_free(now, Lane::Link(link), number, good),
             Frame::Hello { host, address, epoch: meant } if meant == epoch => {
@@ -208,7 +208,7 @@
 
     /// Hands waiting questions to the hosts that are free.
     pub(super) fn ask_next(&mut self) {
-        while let Some((lane, number, ask)) = self.desk.next() {
+        while let Some((lane, number, ask)) = self.desk.take() {
             let workers: Vec<Arc<str>> = ask.workers.iter().map(|life| life.id.clone()).collect();
             match lane {
                 Lane::Own => self.question(Question::Own(self.epoch, number), ask.step, workers),
@@ -232,7 +232,7 @@
     pub(super) fn on_advised(&mut self, now: Timestamp, question: Question, good: Option<Vec<Ticket>>) {
         match question {
             Question::Own(epoch, number) if epoch == self.epoch => {
-                self.lane_free(now, Lane::Own, number, good)
+                self.lane_free(now, Lane::Own, number, good);
             }
             Question::Own(..) => {}
             Question::Peer(number) => {
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -181,7 +181,7 @@
                 Phase::Recording | Phase::Starting | Phase::Stopping(None) => {}
                 Phase::Unsure(at) if at < sent => self.stop(task),
                 Phase::Running(at) | Phase::Stopping(Some(at)) if at < sent => {
-                    self.drop_place(now, task, run)
+                    self.drop_place(now, task, run);
                 }
                 Phase::Inherited => self.drop_place(now, task, run),
                 Phase::Unsure(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -225,7 +225,7 @@
             let candidate = &mut candidates.list[indexes[room]];
             candidate.free = candidate.free.saturating_sub(need);
             let life = candidate.life.clone();
-            self.place(now, key, index, shape.gang.then_some(highest + 1), life, need);
+            self.place(now, key, index, shape.gang.then_some(highest + 1), &life, need);
         }
         if !missing {
             return Fit::Placed;
@@ -244,7 +244,7 @@
         key: StepKey,
         index: u32,
         gang: Option<u32>,
-        life: Life,
+        life: &Life,
         need: Resources,
     ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
@@ -258,7 +258,7 @@
         task.place =
             Some(Placement { life: life.clone(), run, phase: Phase::Recording, percent: 0, moved: now });
         job.live += 1;
-        if let Some(worker) = self.workers.get_mut(&life) {
+        if let Some(worker) = self.workers.get_mut(life) {
             worker.occupy(name, run, need);
         }
         self.batch.progress.insert(key.job);
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -197,17 +197,17 @@
     for number in 0..5 {
         desk.add(ask(number, 700, number));
     }
-    let slow: Vec<_> = std::iter::from_fn(|| desk.next()).collect();
+    let slow: Vec<_> = std::iter::from_fn(|| desk.take()).collect();
     assert_eq!(slow.len(), 2, "one of three hosts is left to quick calls");
     desk.add(ask(9, 10, 99));
-    let (lane, number, quick) = desk.next().expect("a host is free");
+    let (lane, number, quick) = desk.take().expect("a host is free");
     assert_eq!(quick.step.job, JobKey(9));
     assert_eq!(desk.finish(lane, number + 1), None, "an answer to another question is left out");
     assert_eq!(desk.finish(lane, number), Some(quick));
     // Regression: a host that went silent kept its call for ever.
     desk.close(slow[0].0);
     desk.close(slow[1].0);
-    let (_, _, again) = desk.next().expect("a host is free");
+    let (_, _, again) = desk.take().expect("a host is free");
     assert_eq!(again.step, slow[0].2.step, "the call of a lost host is made by another one");
 }
 
--- a/yuccahoist/tests/shard/world.rs
+++ b/yuccahoist/tests/shard/world.rs
@@ -12,7 +12,7 @@
 use yuccahoist::shard::owner::Restored;
 use yuccahoist::shard::record::{Entry, JobState, Ownership, Record};
 use yuccahoist::shard::spec::{AdviceCost, JobSpec, Queue, StepSpec};
-use yuccahoist::shard::{Epoch, JobKey, Life, Owner, OwnerOptions, TaskName};
+use yuccahoist::shard::{Epoch, JobKey, Life, Owner, OwnerOptions, StepKey, TaskName};
 use yuccahoist::unit::{Resources, Timestamp};
 
 /// Step of model time.
@@ -69,6 +69,9 @@
     gang: bool,
 }
 
+/// Member of a gang with its worker.
+type Member = (Life, TaskName, Run);
+
 #[derive(Debug)]
 struct Worker {
     entry: WorkerEntry,
@@ -143,8 +146,8 @@
     noted: BTreeSet<TaskName>,
     accepted: BTreeSet<JobKey>,
     /// Gang runs that have been whole, and those of which a member has ended.
-    whole: BTreeSet<(yuccahoist::shard::StepKey, u32)>,
-    broken: BTreeSet<(yuccahoist::shard::StepKey, u32)>,
+    whole: BTreeSet<(StepKey, u32)>,
+    broken: BTreeSet<(StepKey, u32)>,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     number: u64,
 }
@@ -389,8 +392,7 @@
 
     /// Ends of gangs: all members work from the start of the last one on, and end together.
     fn work_gangs(&mut self) {
-        let mut gangs: BTreeMap<(yuccahoist::shard::StepKey, u32), Vec<(Life, TaskName, Run)>> =
-            BTreeMap::new();
+        let mut gangs: BTreeMap<(StepKey, u32), Vec<Member>> = BTreeMap::new();
         for (life, worker) in &self.workers {
             for ((task, run), state) in worker.runs.iter().filter(|(_, r)| r.gang) {
                 let members = gangs.entry((task.step, *run)).or_default();
@@ -527,7 +529,7 @@
             assert!(!twice || shape.copies, "{task} runs on {other} and starts as run {run} on {life}");
         }
         for after in &shape.after {
-            let step = yuccahoist::shard::StepKey { step: *after, ..task.step };
+            let step = StepKey { step: *after, ..task.step };
             let all =
                 (0..spec.steps[*after as usize].tasks).all(|index| self.done.contains(&step.task(index)));
             assert!(all, "{task} starts before step {after} is done");
