Rename the library's slice platform to systems

Cause: the slice with the interfaces of outside systems and the new folder platform/ had one name. Change: renamed, no logic touched; questions to other hosts for the owner are no longer logged as a lost owner (ten lines a second while the store is away).

--- a/yuccahoist/src/daemon.rs
+++ b/yuccahoist/src/daemon.rs
@@ -29,11 +29,11 @@
 use crate::id::Incarnation;
 use crate::metrics::Metrics;
 use crate::peer::{LinkContext, LinkOpener, PeerLinks, ServerContext, run_links, serve};
-use crate::platform::{
+use crate::settings::{PlatformSettings, Settings};
+use crate::systems::{
     BackendServer, HostList, HttpBackendServer, HttpHostList, HttpWorkers, LogService, WorkerPlatform,
     WorkerTable,
 };
-use crate::settings::{PlatformSettings, Settings};
 
 /// State machine of a host, which the daemon drives.
 pub type HostMachine = Box<dyn Duty<Event = HostEvent, Action = HostAction> + Send>;
--- a/yuccahoist/src/daemon/effects.rs
+++ b/yuccahoist/src/daemon/effects.rs
@@ -12,7 +12,7 @@
 use crate::event::{HostAction, HostEvent};
 use crate::logging;
 use crate::peer::{Outgoing, PeerLinks};
-use crate::platform::CallError;
+use crate::systems::CallError;
 use crate::unit::Timestamp;
 
 /// Starts the I/O that the state machine asks for.
--- a/yuccahoist/src/event.rs
+++ b/yuccahoist/src/event.rs
@@ -19,9 +19,9 @@
 use crate::ownership::Share;
 use crate::peer::PeerMessage;
 use crate::placement::{Inventory, PlacementDecision, WorkerCommand};
-use crate::platform::{CallError, DispatchBounds, HostState, ReadBatch, WorkerAddress};
 use crate::request::{Answer, Outcome, Request};
 use crate::stream::StreamName;
+use crate::systems::{CallError, DispatchBounds, HostState, ReadBatch, WorkerAddress};
 use crate::unit::{Timestamp, WallTime};
 
 /// What the host reacts to.
--- a/yuccahoist/src/host/control.rs
+++ b/yuccahoist/src/host/control.rs
@@ -16,7 +16,7 @@
 use crate::ownership::{Grant, OwnershipAction, OwnershipEvent};
 use crate::peer::PeerMessage;
 use crate::placement::PlacementEvent;
-use crate::platform::{HostState, WorkerAddress};
+use crate::systems::{HostState, WorkerAddress};
 use crate::unit::Timestamp;
 
 /// Partition whose owner decides on configuration edits.
--- a/yuccahoist/src/host/jobs.rs
+++ b/yuccahoist/src/host/jobs.rs
@@ -17,7 +17,7 @@
 };
 use crate::peer::PeerMessage;
 use crate::placement::{Inventory, PlacementAction, PlacementEvent};
-use crate::platform::CallError;
+use crate::systems::CallError;
 use crate::unit::{Resources, Timestamp};
 
 /// Time after which a job call whose record is not confirmed is answered as unavailable.
--- a/yuccahoist/src/host/requests.rs
+++ b/yuccahoist/src/host/requests.rs
@@ -11,8 +11,8 @@
 use crate::id::{Incarnation, ShardId};
 use crate::intent::IntentRecord;
 use crate::peer::PeerMessage;
-use crate::platform::{CallError, DispatchBounds};
 use crate::request::{Answer, Outcome, Request};
+use crate::systems::{CallError, DispatchBounds};
 use crate::unit::Timestamp;
 
 /// Run limit that a backend server is told when the configuration does not name the class.
--- a/yuccahoist/src/host/step.rs
+++ b/yuccahoist/src/host/step.rs
@@ -15,9 +15,9 @@
 use crate::ownership::OwnershipEvent;
 use crate::peer::PeerMessage;
 use crate::placement::{Inventory, PlacementEvent};
-use crate::platform::{CallError, HostState, ReadBatch};
 use crate::request::Answer;
 use crate::stream::StreamName;
+use crate::systems::{CallError, HostState, ReadBatch};
 use crate::unit::Timestamp;
 
 /// Event for one of the duties, or a call of the host itself.
--- a/yuccahoist/src/host/streams.rs
+++ b/yuccahoist/src/host/streams.rs
@@ -12,8 +12,8 @@
 use crate::intent::{IntentEffect, IntentFold, IntentRecord};
 use crate::job::{CoordinatorEvent, JobFold, JobRecord};
 use crate::ownership::{CellFold, CellRecord, OwnershipEvent};
-use crate::platform::{CallError, ReadBatch};
 use crate::stream::{Fold, StreamAction, StreamClient, StreamEvent, StreamName, StreamSettings};
+use crate::systems::{CallError, ReadBatch};
 use crate::unit::Timestamp;
 use bytes::Bytes;
 
--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -24,9 +24,10 @@
 pub mod ownership;
 pub mod peer;
 pub mod placement;
-pub mod platform;
+
 pub mod request;
 pub mod settings;
 pub mod shard;
 pub mod stream;
+pub mod systems;
 pub mod unit;
--- a/yuccahoist/src/membership/message.rs
+++ b/yuccahoist/src/membership/message.rs
@@ -4,7 +4,7 @@
 
 use crate::id::Incarnation;
 use crate::ownership::Member;
-use crate::platform::HostState;
+use crate::systems::HostState;
 
 /// What the membership duty reacts to.
 #[derive(Debug, Clone)]
--- a/yuccahoist/src/membership/mod.rs
+++ b/yuccahoist/src/membership/mod.rs
@@ -13,7 +13,7 @@
 use crate::duty::Duty;
 use crate::id::Incarnation;
 use crate::ownership::Member;
-use crate::platform::HostState;
+use crate::systems::HostState;
 use crate::unit::Timestamp;
 
 /// Time between two heartbeats to each member.
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -238,10 +238,10 @@
         }
         self.connecting = false;
         self.link = None;
-        log::info!(target: "decision", "owner epoch={} outcome=lost loss={loss:?}", self.epoch);
         if self.probing {
             return;
         }
+        log::info!(target: "decision", "owner epoch={} outcome=lost loss={loss:?}", self.epoch);
         match loss {
             Loss::Ended if now.since(self.connected) > RECONNECT => self.connect(),
             Loss::Ended => {}
--- a/yuccahoist/src/stream/client.rs
+++ b/yuccahoist/src/stream/client.rs
@@ -20,7 +20,7 @@
 use super::{Fold, StreamName, StreamSettings};
 use crate::duty::Duty;
 use crate::id::{Incarnation, Offset, Sequence};
-use crate::platform::{CallError, ReadBatch};
+use crate::systems::{CallError, ReadBatch};
 use crate::unit::Timestamp;
 
 /// Records between two removals of silent producers.
--- a/yuccahoist/src/stream/client/appender.rs
+++ b/yuccahoist/src/stream/client/appender.rs
@@ -7,8 +7,8 @@
 
 use super::schedule::Backoff;
 use crate::id::{Offset, Sequence};
-use crate::platform::CallError;
 use crate::stream::StreamSettings;
+use crate::systems::CallError;
 use crate::unit::Timestamp;
 
 /// Own record.
--- a/yuccahoist/src/stream/message.rs
+++ b/yuccahoist/src/stream/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use crate::id::{Offset, Sequence};
-use crate::platform::{CallError, ReadBatch};
+use crate::systems::{CallError, ReadBatch};
 use crate::unit::Timestamp;
 
 /// What a stream client reacts to.
--- a/yuccahoist/tests/common/mod.rs
+++ b/yuccahoist/tests/common/mod.rs
@@ -15,14 +15,14 @@
 use yuccahoist::event::{HostAction, HostEvent};
 use yuccahoist::id::{Offset, WorkerId};
 use yuccahoist::placement::{Inventory, WorkerCommand};
-use yuccahoist::platform::{
-    BackendServer, CallError, DispatchBounds, HostList, HostState, LogService, ReadBatch, WorkerPlatform,
-};
 use yuccahoist::request::{Answer, Request};
 use yuccahoist::settings::{
     HostSettings, ListenSettings, LogSettings, LoggingSettings, MetricsSettings, PlatformSettings, Settings,
 };
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::{
+    BackendServer, CallError, DispatchBounds, HostList, HostState, LogService, ReadBatch, WorkerPlatform,
+};
 use yuccahoist::unit::Timestamp;
 
 /// State machine made of a closure.
@@ -104,7 +104,7 @@
         workers: nothing.clone(),
         backends: nothing.clone(),
         hosts: nothing,
-        table: yuccahoist::platform::WorkerTable::default(),
+        table: yuccahoist::systems::WorkerTable::default(),
     }
 }
 
--- a/yuccahoist/tests/daemon.rs
+++ b/yuccahoist/tests/daemon.rs
@@ -10,8 +10,8 @@
 use yuccahoist::event::{HostAction, HostEvent};
 use yuccahoist::id::{Epoch, Incarnation, RequestId};
 use yuccahoist::placement::WorkerCommand;
-use yuccahoist::platform::{CallError, DispatchBounds};
 use yuccahoist::request::{Answer, Class, Outcome, Request};
+use yuccahoist::systems::{CallError, DispatchBounds};
 use yuccahoist::unit::{Timestamp, WallTime};
 
 use self::common::{Puppet, Script, platform, settings};
--- a/yuccahoist/tests/fake_log/mod.rs
+++ b/yuccahoist/tests/fake_log/mod.rs
@@ -10,8 +10,8 @@
 use rand_chacha::ChaCha8Rng;
 use yuccahoist::duty::Duty;
 use yuccahoist::id::{Incarnation, Offset, Sequence};
-use yuccahoist::platform::{CallError, ReadBatch};
 use yuccahoist::stream::{Fold, StreamAction, StreamClient, StreamEvent, StreamName, StreamSettings};
+use yuccahoist::systems::{CallError, ReadBatch};
 use yuccahoist::unit::Timestamp;
 
 /// Time between two steps of the simulation.
--- a/yuccahoist/tests/fuzz.rs
+++ b/yuccahoist/tests/fuzz.rs
@@ -20,9 +20,9 @@
 use yuccahoist::intent::IntentFold;
 use yuccahoist::job::JobFold;
 use yuccahoist::ownership::{CellFold, Member};
-use yuccahoist::platform::ReadBatch;
 use yuccahoist::request::{Answer, Outcome};
 use yuccahoist::stream::{Fold, StreamClient, StreamEvent, StreamName, StreamSettings};
+use yuccahoist::systems::ReadBatch;
 use yuccahoist::unit::{Timestamp, WallTime};
 
 use self::common::{Script, platform, settings};
--- a/yuccahoist/tests/host_faults/log.rs
+++ b/yuccahoist/tests/host_faults/log.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use yuccahoist::id::Offset;
-use yuccahoist::platform::{CallError, ReadBatch};
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::{CallError, ReadBatch};
 use yuccahoist::unit::Timestamp;
 
 /// Records that one read returns at most.
--- a/yuccahoist/tests/host_faults/world.rs
+++ b/yuccahoist/tests/host_faults/world.rs
@@ -16,9 +16,9 @@
 use yuccahoist::ownership::Member;
 use yuccahoist::peer::{ANY_PEER, PeerMessage};
 use yuccahoist::placement::WorkerCommand;
-use yuccahoist::platform::{CallError, DispatchBounds, HostState};
 use yuccahoist::request::{Answer, Class, Outcome, Request};
 use yuccahoist::stream::{StreamName, StreamSettings};
+use yuccahoist::systems::{CallError, DispatchBounds, HostState};
 use yuccahoist::unit::{Timestamp, WallTime};
 
 use crate::cell::{RACKS, SLOTS, WORKERS, base, capacity, edit, name};
@@ -153,7 +153,7 @@
     Peer(Incarnation, PeerMessage),
     NotSent(Incarnation, PeerMessage),
     Lost(Incarnation),
-    Read(StreamName, Timestamp, Result<yuccahoist::platform::ReadBatch, CallError>),
+    Read(StreamName, Timestamp, Result<yuccahoist::systems::ReadBatch, CallError>),
     Appended(StreamName, Sequence, Result<Offset, CallError>),
     Backend(ForwardId, Result<Answer, CallError>),
     Worker(WorkerId, u64, Result<yuccahoist::placement::Inventory, CallError>),
--- a/yuccahoist/tests/membership.rs
+++ b/yuccahoist/tests/membership.rs
@@ -8,7 +8,7 @@
 use yuccahoist::id::{HostId, Incarnation};
 use yuccahoist::membership::{Membership, MembershipAction, MembershipEvent};
 use yuccahoist::ownership::Member;
-use yuccahoist::platform::HostState;
+use yuccahoist::systems::HostState;
 use yuccahoist::unit::Timestamp;
 
 const OWN: Incarnation = Incarnation(1);
--- a/yuccahoist/tests/stream.rs
+++ b/yuccahoist/tests/stream.rs
@@ -277,8 +277,8 @@
 #[test]
 fn unsound_answers_are_not_folded() {
     use yuccahoist::duty::Duty;
-    use yuccahoist::platform::ReadBatch;
     use yuccahoist::stream::StreamClient;
+    use yuccahoist::systems::ReadBatch;
     use yuccahoist::unit::Timestamp;
 
     struct Case {
@@ -369,8 +369,8 @@
 #[test]
 fn lost_answer_is_resolved_by_reading() {
     use yuccahoist::duty::Duty;
-    use yuccahoist::platform::{CallError, ReadBatch};
     use yuccahoist::stream::StreamClient;
+    use yuccahoist::systems::{CallError, ReadBatch};
     use yuccahoist::unit::Timestamp;
 
     for landed in [true, false] {
--- a/yuccahoist_bench/src/bin/forwarding.rs
+++ b/yuccahoist_bench/src/bin/forwarding.rs
@@ -25,15 +25,15 @@
 use yuccahoist::front::CallId;
 use yuccahoist::id::{Epoch, Incarnation, Offset, RequestId, ShardId, WorkerId};
 use yuccahoist::peer::PeerMessage;
-use yuccahoist::platform::{
-    CallError, DispatchBounds, HostList, HostState, HttpBackendServer, HttpWorkers, LogService, ReadBatch,
-    WorkerAddress, WorkerTable,
-};
 use yuccahoist::request::{Doubt, Outcome};
 use yuccahoist::settings::{
     HostSettings, ListenSettings, LogSettings, LoggingSettings, MetricsSettings, PlatformSettings, Settings,
 };
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::{
+    CallError, DispatchBounds, HostList, HostState, HttpBackendServer, HttpWorkers, LogService, ReadBatch,
+    WorkerAddress, WorkerTable,
+};
 use yuccahoist::unit::{Timestamp, WallTime};
 
 /// Measures forwarding.
--- a/yuccahoist_bench/src/control/log.rs
+++ b/yuccahoist_bench/src/control/log.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use yuccahoist::id::Offset;
-use yuccahoist::platform::ReadBatch;
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::ReadBatch;
 
 /// Most records of one read.
 const READ_LIMIT: usize = 512;
--- a/yuccahoist_cli/src/config_log.rs
+++ b/yuccahoist_cli/src/config_log.rs
@@ -10,8 +10,8 @@
 use yuccahoist::config::{ConfigEffect, ConfigFold, ConfigRecord, Edit, EditOutcome};
 use yuccahoist::duty::Duty;
 use yuccahoist::id::{Incarnation, Offset};
-use yuccahoist::platform::{HttpLog, LogService};
 use yuccahoist::stream::{StreamAction, StreamClient, StreamEvent, StreamName, StreamSettings};
+use yuccahoist::systems::{HttpLog, LogService};
 
 use crate::error::CommandError;
 
--- a/yuccahoist_cli/src/demo/script.rs
+++ b/yuccahoist_cli/src/demo/script.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep_until;
 use yuccahoist::config::DocumentName;
 use yuccahoist::id::{HostId, Revision, WorkerId};
-use yuccahoist::platform::HostState;
+use yuccahoist::systems::HostState;
 use yuccahoist_standins::cluster::{Cluster, ClusterError};
 
 use super::caller::Callers;
--- a/yuccahoist_cli/tests/config.rs
+++ b/yuccahoist_cli/tests/config.rs
@@ -10,8 +10,8 @@
 use warp::Filter;
 use yuccahoist::config::{ConfigFold, ConfigRecord, Verdict};
 use yuccahoist::id::{Incarnation, Offset, Sequence};
-use yuccahoist::platform::LogService;
 use yuccahoist::stream::{Envelope, Fold, StreamName, encode};
+use yuccahoist::systems::LogService;
 use yuccahoist_standins::log::{LogFaults, LogServer, MemoryLog};
 
 const STREAM: StreamName = StreamName::Config;
--- a/yuccahoist_standins/src/backend.rs
+++ b/yuccahoist_standins/src/backend.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use serde::Serialize;
 use yuccahoist::id::{Epoch, RequestId, ServiceId, WorkerId};
-use yuccahoist::platform::{BackendServer, CallError, DispatchBounds};
 use yuccahoist::request::{Answer, Request};
+use yuccahoist::systems::{BackendServer, CallError, DispatchBounds};
 
 use crate::fault::FaultSwitch;
 use crate::time::RecordClock;
--- a/yuccahoist_standins/src/cluster.rs
+++ b/yuccahoist_standins/src/cluster.rs
@@ -17,9 +17,9 @@
 use yuccahoist::event::HostStatus;
 use yuccahoist::host::{Host, HostOptions};
 use yuccahoist::id::{HostId, Incarnation, Offset, ParseIdError, Revision, Sequence, WorkerId};
-use yuccahoist::platform::{CallError, LogService, WorkerTable};
 use yuccahoist::settings::{HostSettings, ListenSettings, PlatformSettings, Settings};
 use yuccahoist::stream::{Envelope, StreamName};
+use yuccahoist::systems::{CallError, LogService, WorkerTable};
 
 use crate::backend::Backends;
 use crate::hosts::Hosts;
--- a/yuccahoist_standins/src/fault.rs
+++ b/yuccahoist_standins/src/fault.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
-use yuccahoist::platform::CallError;
+use yuccahoist::systems::CallError;
 
 /// Faults that are switched on.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/yuccahoist_standins/src/hosts.rs
+++ b/yuccahoist_standins/src/hosts.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use tokio::time::Instant;
-use yuccahoist::platform::{CallError, HostList, HostState};
+use yuccahoist::systems::{CallError, HostList, HostState};
 
 use crate::fault::FaultSwitch;
 
--- a/yuccahoist_standins/src/lib.rs
+++ b/yuccahoist_standins/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for the platform: log service, workers, backend servers and host list.
 //!
-//! Each stand-in implements the trait of `yuccahoist::platform` for use in one process, and is served by HTTP in the
+//! Each stand-in implements the trait of `yuccahoist::systems` for use in one process, and is served by HTTP in the
 //! form that the product's clients expect. It keeps its own record of what took effect, which tests and experiments
 //! compare with what the product reports.
 
--- a/yuccahoist_standins/src/log/memory.rs
+++ b/yuccahoist_standins/src/log/memory.rs
@@ -8,8 +8,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 use yuccahoist::id::Offset;
-use yuccahoist::platform::{CallError, LogService, ReadBatch};
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::{CallError, LogService, ReadBatch};
 
 use super::LogFaults;
 
--- a/yuccahoist_standins/src/log/server.rs
+++ b/yuccahoist_standins/src/log/server.rs
@@ -11,8 +11,8 @@
 use warp::reply::{Json, WithStatus, json, with_status};
 use warp::{Filter, Rejection, Reply};
 use yuccahoist::id::Offset;
-use yuccahoist::platform::{AppendReply, CallError, LogService, ReadBatch, ReadReply, RecordReply};
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::{AppendReply, CallError, LogService, ReadBatch, ReadReply, RecordReply};
 
 use super::{LogFaults, MemoryLog};
 
--- a/yuccahoist_standins/src/serve.rs
+++ b/yuccahoist_standins/src/serve.rs
@@ -19,11 +19,11 @@
 use warp::{Filter, Reply};
 use yuccahoist::id::{Epoch, RequestId, ServiceId, TeamId, WorkerId};
 use yuccahoist::placement::WorkerCommand;
-use yuccahoist::platform::{
+use yuccahoist::request::{Class, Request};
+use yuccahoist::systems::{
     BackendServer, CallError, DispatchBounds, EPOCH, HostList, HostState, REJECTED, REQUEST_ID, RUN_LIMIT,
     START_BEFORE, WorkerPlatform,
 };
-use yuccahoist::request::{Class, Request};
 use yuccahoist::unit::{Timestamp, WallTime};
 
 use crate::backend::{BackendRecord, Backends};
--- a/yuccahoist_standins/src/worker.rs
+++ b/yuccahoist_standins/src/worker.rs
@@ -12,7 +12,7 @@
 use yuccahoist::id::{Attempt, Epoch, JobId, TaskId, WorkerId};
 use yuccahoist::job::JobKind;
 use yuccahoist::placement::{Inventory, InventoryTask, TaskStart, WorkerCommand, WorkerTaskState};
-use yuccahoist::platform::{CallError, WorkerPlatform};
+use yuccahoist::systems::{CallError, WorkerPlatform};
 use yuccahoist::unit::{CpuMillis, Resources};
 
 use crate::fault::FaultSwitch;
--- a/yuccahoist_standins/tests/http.rs
+++ b/yuccahoist_standins/tests/http.rs
@@ -9,12 +9,12 @@
 use tokio::net::TcpListener;
 use yuccahoist::id::{Epoch, RequestId, WorkerId};
 use yuccahoist::placement::{Inventory, WorkerCommand};
-use yuccahoist::platform::{
+use yuccahoist::request::{Class, Request};
+use yuccahoist::settings::PlatformSettings;
+use yuccahoist::systems::{
     BackendServer, CallError, DispatchBounds, HostList, HostState, HttpBackendServer, HttpHostList,
     HttpWorkers, WorkerAddress, WorkerPlatform, WorkerTable,
 };
-use yuccahoist::request::{Class, Request};
-use yuccahoist::settings::PlatformSettings;
 use yuccahoist::unit::{Timestamp, WallTime};
 use yuccahoist_standins::backend::Backends;
 use yuccahoist_standins::fault::Faults;
--- a/yuccahoist_standins/tests/log.rs
+++ b/yuccahoist_standins/tests/log.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use yuccahoist::id::Offset;
-use yuccahoist::platform::{CallError, HttpLog, LogService, LogTimeouts};
 use yuccahoist::stream::StreamName;
+use yuccahoist::systems::{CallError, HttpLog, LogService, LogTimeouts};
 use yuccahoist_standins::log::{LogFaults, LogServer, MemoryLog};
 
 const STREAM: StreamName = StreamName::Config;
--- a/yuccahoistd/src/main.rs
+++ b/yuccahoistd/src/main.rs
@@ -9,8 +9,8 @@
 use yuccahoist::daemon::{Daemon, HostMachine, Platform, StartError};
 use yuccahoist::host::{Host, HostOptions};
 use yuccahoist::logging;
-use yuccahoist::platform::{CallError, HttpLog, LogTimeouts};
 use yuccahoist::settings::{Settings, SettingsErrors};
+use yuccahoist::systems::{CallError, HttpLog, LogTimeouts};
 
 use self::cli::Arguments;
 
