Stop runs of a job that a previous owner had ended

Cause: an owner that was replaced after storing a cancellation, and before its orders to stop arrived, left the runs at work: its successor recognised them as placed and let them go on. Ruled out: checkpoints of other tasks (only ends and reports of the placed run set them). After: the test passes.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -121,6 +121,10 @@
             place.moved = now;
             self.begun(task.step.job);
         }
+        if self.is_over(task) {
+            // A previous owner ended the job and its order to stop may not have arrived.
+            self.stop(task);
+        }
         if active.saved.is_empty() {
             return;
         }
@@ -153,6 +157,11 @@
         }
     }
 
+    /// Whether a job has ended without this task, so that its run is of no use.
+    fn is_over(&self, task: TaskName) -> bool {
+        self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) && !self.is_done(task)
+    }
+
     fn is_done(&self, task: TaskName) -> bool {
         let key = task.step;
         let steps = self.jobs.get(&key.job).and_then(|j| j.occurrences.get(key.occurrence as usize));
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -51,6 +51,24 @@
     assert_eq!(world.state(1), Some(JobState::Cancelled));
 }
 
+/// The owner was replaced after it had stored a cancellation and before its orders to stop arrived.
+#[test]
+fn a_new_owner_stops_what_was_cancelled() {
+    let mut world = World::new(1, 4);
+    world.run(100);
+    world.submit(1, spec(4, 60_000));
+    world.run(200);
+    world.faults.late = 1.0;
+    world.call(9, Request::Cancel(JobKey(1)));
+    world.run(30);
+    assert_eq!(world.answers.get(&9), Some(&Answer::Cancelled));
+    world.faults.late = 0.0;
+    world.take_over(true);
+    world.run(1_500);
+    assert_eq!(world.state(1), Some(JobState::Cancelled));
+    assert!(world.places(1).is_empty(), "runs are left on workers {:?}", world.places(1));
+}
+
 #[test]
 fn a_new_owner_goes_on_without_a_second_run() {
     for lands in [false, true] {
