--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -55,8 +55,6 @@
     pub longest: Duration,
     /// Part of a core that the host has; a stronger one claims the shard earlier.
     pub share: f64,
-    /// Longest time that a stopping host may take.
-    pub grace: Duration,
 }
 
 /// What a host shows of itself.
@@ -68,7 +66,7 @@
     pub owner: bool,
     /// Epoch of the owner.
     pub epoch: Epoch,
-    /// Text of the counters.
+    /// Counters of the owner; zero on other hosts.
     pub counters: super::owner::Counters,
 }
 
