--- a/yuccahoist_standins/src/lib.rs
+++ b/yuccahoist_standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod hosts;
 pub mod log;
+pub mod platform;
 pub mod serve;
 pub mod time;
 pub mod worker;
