Judge standing tasks by reports, and leave a store that fails at once alone

Ruled out: an early look at the reports that wait after the pause (their content is as old as the pause); a pause after each silent try (a try that used its time limit has waited already, and lost answers are common).

A task stands still only if a report that was asked for later than the limit says so; pauses double from 15 to 400 ms, less the time that the failed try took.

--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -1,7 +1,5 @@
 //! Carries out the actions of the owner.
 
-use std::time::Duration;
-
 use rand::RngExt;
 use tokio::sync::mpsc;
 
@@ -16,11 +14,6 @@
 use crate::shard::record::Entry;
 use crate::unit::Timestamp;
 
-/// First pause before a write is repeated.
-const FIRST_PAUSE_MS: u64 = 15; // About the duration of a write.
-/// Longest pause before a write is repeated.
-const LONGEST_PAUSE_MS: u64 = 400; // Work goes on within half a second of the store's return.
-
 impl HostState {
     pub(super) fn perform(&mut self, now: Timestamp, epoch: Epoch, action: Action) {
         match action {
@@ -89,14 +82,8 @@
                     }
                     log::info!(target: "decision", "append epoch={epoch} sequence={sequence} outcome=repeat error={error}");
                     tries += 1;
-                    if matches!(error, StoreError::Silent { .. }) {
-                        // The limit has passed already.
-                        started = tokio::time::Instant::now();
-                        continue;
-                    }
-                    let pause = (FIRST_PAUSE_MS << tries.min(5)).min(LONGEST_PAUSE_MS);
-                    let jitter = rand::rng().random_range(0..pause);
-                    tokio::time::sleep(Duration::from_millis(pause + jitter)).await;
+                    let jitter = rand::rng().random_range(1.0..2.0);
+                    tokio::time::sleep(Patience::pause(tries, started.elapsed()).mul_f64(jitter)).await;
                     started = tokio::time::Instant::now();
                 }
                 patience.took(started.elapsed());
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -72,6 +72,7 @@
             Hold::Asked(at) => at,
             Hold::Due(_) => now,
         };
+        worker.reported = sent;
         worker.lease.observe(now, report.clock);
         if !worker.heard {
             worker.heard = true;
--- a/yuccahoist/src/shard/owner/upkeep.rs
+++ b/yuccahoist/src/shard/owner/upkeep.rs
@@ -148,7 +148,9 @@
                 };
                 let limit = STILL.max(shape.estimate / 4);
                 let at_work = if shape.gang { step.tasks.iter().all(together) } else { together(entry) };
-                if !shape.lasting && at_work && place.percent < 100 && now > place.moved + limit {
+                // Without a report the task may have moved.
+                let stands = worker.reported > place.moved + limit;
+                if !shape.lasting && at_work && place.percent < 100 && stands {
                     still.push((*task, place.life.clone()));
                 }
             }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -28,6 +28,8 @@
     pub heard: bool,
     /// Whether the last call was answered.
     pub answers: bool,
+    /// When the call was sent that the last report answered.
+    pub reported: Timestamp,
     /// Clock and lease.
     pub lease: Lease,
     /// Highest end that is stored.
@@ -53,6 +55,7 @@
             missing: None,
             heard: false,
             answers: true,
+            reported: now,
             lease: Lease::new(inherited),
             stored: 0,
             received: 0,
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -224,3 +224,25 @@
     assert!(patience.limit(0) > ms(720), "a slow store is not asked again and again");
     assert!(patience.limit(9) <= ms(1_200));
 }
+
+/// Load: a store that breaks each connection at once was asked 500 times a second.
+#[test]
+fn a_store_that_fails_at_once_is_left_alone() {
+    struct Case {
+        tries: u32,
+        elapsed: u64,
+        least: u64,
+        most: u64,
+    }
+    let cases = [
+        Case { tries: 1, elapsed: 1, least: 10, most: 40 },
+        Case { tries: 6, elapsed: 1, least: 300, most: 400 },
+        Case { tries: 20, elapsed: 1, least: 300, most: 400 },
+        // A try that used its time limit was pause enough.
+        Case { tries: 1, elapsed: 80, least: 0, most: 0 },
+    ];
+    for case in cases {
+        let pause = Patience::pause(case.tries, ms(case.elapsed));
+        assert!((ms(case.least)..=ms(case.most)).contains(&pause), "try {}: {pause:?}", case.tries);
+    }
+}
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -221,3 +221,16 @@
     }
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+/// An owner that had been frozen took the silence of its own pause for tasks that stand still, and stopped them.
+#[test]
+fn a_pause_of_the_owner_is_not_the_tasks_standing_still() {
+    let mut world = World::new(1, 2);
+    world.run(100);
+    world.submit(1, spec(2, 8_000));
+    world.run(3_000);
+    world.freeze(2_900);
+    world.run(6_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts[&JobKey(1)], 2, "each task was started once");
+}
--- a/yuccahoist/tests/shard/world.rs
+++ b/yuccahoist/tests/shard/world.rs
@@ -350,6 +350,16 @@
         }
     }
 
+    /// Time passes for all but the owner, which notices it by its own clock first.
+    pub fn freeze(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(STEP_MS);
+            self.work();
+        }
+        self.event(Event::Tick);
+    }
+
     /// Ends, lapses and waiting reports of the workers.
     fn work(&mut self) {
         let (now, epoch) = (self.now, self.epoch);
