Slow tasks that fill where what serves beside them nears its target

Cause: targets and tails were decoded and never used. On a worker with serving tasks, fillers ran at full speed however far the tail was over its target.

Ruled out: keeping fillers off workers that serve (they would have nowhere to fill), and stopping them (work thrown away; a slowed task goes on).

Before: fillers_give_way_to_what_serves fails with the orders switched off (the tail stays over its target for more than 3 s). After: it passes, also over a change of owner; a slow filler does not count as standing still.

--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -10,7 +10,7 @@
 use crate::shard::desk::Ask;
 use crate::shard::id::Epoch;
 use crate::shard::message::{Action, Event};
-use crate::shard::ports::{HoldOrder, StartOrder, StoreError};
+use crate::shard::ports::{HoldOrder, PaceOrder, StartOrder, StoreError};
 use crate::shard::record::Entry;
 use crate::unit::Timestamp;
 
@@ -53,6 +53,14 @@
                     tell(&inbox, Input::Owned(epoch, Event::Stopped(task, run, life, result))).await;
                 });
             }
+            Action::Pace { life, address, task, run, share } => {
+                let (workers, inbox) = (self.ports.workers.clone(), self.inbox.clone());
+                tokio::spawn(async move {
+                    let order = PaceOrder { life: life.clone(), address, task, run, share };
+                    let result = workers.pace(epoch, order).await;
+                    tell(&inbox, Input::Owned(epoch, Event::Paced(task, run, life, result))).await;
+                });
+            }
             Action::Advise { step, workers, cost, latest } => {
                 self.desk.add(Ask { step, workers, cost, latest });
                 self.ask_next();
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -122,7 +122,7 @@
     pub saved: String,
     /// Part done, percent.
     pub percent: u32,
-    /// Tail of response times in milliseconds for a lasting task, else processors in use.
+    /// Tail of response times in milliseconds for a task that serves, else processors in use.
     pub load: u64,
 }
 
@@ -194,6 +194,8 @@
     Started(TaskName, u32, Life, Result<(), OrderError>),
     /// Answer to [`Action::Stop`].
     Stopped(TaskName, u32, Life, Result<(), OrderError>),
+    /// Answer to [`Action::Pace`].
+    Paced(TaskName, u32, Life, Result<(), OrderError>),
     /// Answer to [`Action::Advise`]: tickets by worker, or none when the call failed.
     Advised(StepKey, Vec<Life>, Option<Vec<(Arc<str>, String)>>),
     /// Time passed.
@@ -250,6 +252,19 @@
         /// Run number.
         run: u32,
     },
+    /// Set the speed of a run.
+    Pace {
+        /// Worker.
+        life: Life,
+        /// Address.
+        address: String,
+        /// Task.
+        task: TaskName,
+        /// Run number.
+        run: u32,
+        /// Speed, percent.
+        share: u32,
+    },
     /// Ask which of `workers` may run a step.
     Advise {
         /// Step.
--- a/yuccahoist/src/shard/mod.rs
+++ b/yuccahoist/src/shard/mod.rs
@@ -15,6 +15,7 @@
 pub mod message;
 pub mod order;
 pub mod owner;
+pub mod pacing;
 pub mod packing;
 pub mod ports;
 pub mod record;
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod effects;
+mod fill;
 mod preempt;
 mod recover;
 mod reports;
@@ -158,10 +159,11 @@
             Event::Worker(entry) => self.on_worker(now, entry),
             Event::WorkerGone(id) => self.on_gone(now, &id),
             Event::Stored => self.on_stored(now),
-            Event::Held(life, Ok(report)) => self.on_report(now, &life, report),
+            Event::Held(life, Ok(report)) => self.on_report(now, &life, &report),
             Event::Held(life, Err(error)) => self.on_hold_error(now, &life, error),
             Event::Started(task, run, life, result) => self.on_started(now, task, run, &life, result),
             Event::Stopped(task, run, life, result) => self.on_stopped(now, task, run, &life, result),
+            Event::Paced(task, run, life, result) => self.on_paced(task, run, &life, result),
             Event::Advised(step, asked, good) => self.on_advised(now, step, asked, good),
             Event::Tick => {}
         }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    pub(super) fn on_report(&mut self, now: Timestamp, life: &Life, report: Report) {
+    pub(super) fn on_report(&mut self, now: Timestamp, life: &Life, report: &Report) {
         if report.born.is_some_and(|born| born != life.born) {
             return self.life_over(now, life, "the report names another start");
         }
@@ -96,10 +96,11 @@
             self.batch.effects.push(Effect::Release(life.clone(), received));
         }
         let mut listed = BTreeSet::new();
-        for active in report.active {
+        for active in &report.active {
             listed.insert((active.task, active.run));
-            self.on_active(now, life, &active);
+            self.on_active(now, life, active);
         }
+        self.pace_fillers(now, life, &report.active);
         if !cut {
             self.on_absent(now, life, sent, &listed);
         }
@@ -117,11 +118,15 @@
             place.percent = active.percent;
             place.moved = now;
         }
+        let inherited = place.phase == Phase::Inherited;
         if matches!(place.phase, Phase::Starting | Phase::Unsure(_) | Phase::Inherited) {
             place.phase = Phase::Running(now);
             place.moved = now;
             self.begun(task.step.job);
         }
+        if inherited {
+            self.forget_pace(task, run, life);
+        }
         if self.is_over(task) {
             // A previous owner ended the job and its order to stop may not have arrived.
             self.stop(task);
--- a/yuccahoist/src/shard/owner/upkeep.rs
+++ b/yuccahoist/src/shard/owner/upkeep.rs
@@ -7,6 +7,7 @@
 use crate::shard::job::Phase;
 use crate::shard::lease::UNCONFIRMED;
 use crate::shard::message::{Action, EndKind, WorkerEntry};
+use crate::shard::pacing::FULL;
 use crate::shard::record::JobState;
 use crate::shard::worker::{Hold, Worker};
 use crate::unit::Timestamp;
@@ -149,7 +150,8 @@
                 let limit = STILL.max(shape.estimate / 4);
                 let at_work = if shape.gang { step.tasks.iter().all(together) } else { together(entry) };
                 // Without a report the task may have moved.
-                let stands = worker.reported > place.moved + limit;
+                let paced = shape.fills && worker.pace.share < FULL;
+                let stands = !paced && worker.reported > place.moved + limit;
                 if !shape.lasting && at_work && place.percent < 100 && stands {
                     still.push((*task, place.life.clone()));
                 }
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -114,6 +114,21 @@
     pub ticket: Option<String>,
 }
 
+/// Order to set the speed of a run.
+#[derive(Debug, Clone)]
+pub struct PaceOrder {
+    /// Worker.
+    pub life: Life,
+    /// Address.
+    pub address: String,
+    /// Task.
+    pub task: TaskName,
+    /// Run number.
+    pub run: u32,
+    /// Speed, percent.
+    pub share: u32,
+}
+
 /// Call that extends a lease and asks for a report.
 #[derive(Debug, Clone)]
 pub struct HoldOrder {
@@ -147,6 +162,9 @@
         task: TaskName,
         run: u32,
     ) -> Result<(), OrderError>;
+
+    /// Sets the speed of a run.
+    async fn pace(&self, epoch: Epoch, order: PaceOrder) -> Result<(), OrderError>;
 }
 
 /// Ticket of a worker for a step.
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -6,6 +6,7 @@
 use super::id::{StepKey, TaskName};
 use super::lease::Lease;
 use super::message::WorkerEntry;
+use super::pacing::Pace;
 use crate::unit::{Resources, Timestamp};
 
 /// Progress of the calls that extend the lease.
@@ -44,6 +45,10 @@
     pub used: Resources,
     /// Failures.
     pub health: Health,
+    /// Speed of the tasks that fill.
+    pub pace: Pace,
+    /// Speed of each of them that was last ordered, percent; none when it is not known.
+    pub paces: BTreeMap<(TaskName, u32), Option<u32>>,
 }
 
 impl Worker {
@@ -63,6 +68,8 @@
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             health: Health::default(),
+            pace: Pace::default(),
+            paces: BTreeMap::new(),
         }
     }
 
@@ -75,6 +82,7 @@
 
     /// Frees the resources of a run.
     pub fn free(&mut self, task: TaskName, run: u32) {
+        self.paces.remove(&(task, run));
         if self.runs.remove(&(task, run)).is_some() {
             // Summed again, because subtraction saturates.
             self.used = self.runs.values().fold(Resources::ZERO, |sum, need| sum + *need);
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -8,6 +8,7 @@
 use yuccahoist::shard::host::patience::Patience;
 use yuccahoist::shard::lease::Lease;
 use yuccahoist::shard::order::{Band, Urgency};
+use yuccahoist::shard::pacing::Pace;
 use yuccahoist::shard::packing::{Room, gang, single};
 use yuccahoist::shard::{JobKey, Life, StepKey};
 use yuccahoist::unit::{Resources, Timestamp};
@@ -246,3 +247,30 @@
         assert!((ms(case.least)..=ms(case.most)).contains(&pause), "try {}: {pause:?}", case.tries);
     }
 }
+
+/// Load: fillers whose disturbance changes within seconds.
+#[test]
+fn fillers_follow_the_tail_beside_them() {
+    struct Case {
+        name: &'static str,
+        share: u32,
+        since: u64,
+        tail: Option<u64>,
+        expected: u32,
+    }
+    let cases = [
+        Case { name: "nobody serves", share: 0, since: 0, tail: None, expected: 100 },
+        Case { name: "over the target, at once", share: 100, since: 10, tail: Some(101), expected: 0 },
+        Case { name: "near the target", share: 100, since: 700, tail: Some(90), expected: 50 },
+        Case { name: "near, not settled", share: 50, since: 100, tail: Some(90), expected: 50 },
+        Case { name: "between", share: 50, since: 700, tail: Some(75), expected: 50 },
+        Case { name: "calm", share: 50, since: 700, tail: Some(20), expected: 70 },
+        Case { name: "calm, not settled", share: 50, since: 100, tail: Some(20), expected: 50 },
+        Case { name: "at most full speed", share: 95, since: 700, tail: Some(20), expected: 100 },
+    ];
+    for case in cases {
+        let now = Timestamp::from_millis(10_000);
+        let pace = Pace { share: case.share, changed: Timestamp::from_millis(10_000 - case.since) };
+        assert_eq!(pace.after(now, case.tail).share, case.expected, "{}", case.name);
+    }
+}
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -1,10 +1,12 @@
 //! Single cases of the owner. Each fault that was found by a bench has one.
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
 use yuccahoist::shard::JobKey;
 use yuccahoist::shard::message::{Answer, Refusal, Request};
 use yuccahoist::shard::record::JobState;
-use yuccahoist::shard::spec::StepSpec;
+use yuccahoist::shard::spec::{JobSpec, StepSpec};
 
 use super::world::{World, spec};
 
@@ -234,3 +236,54 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
     assert_eq!(world.starts[&JobKey(1)], 2, "each task was started once");
 }
+
+fn serving(target: u64) -> JobSpec {
+    let mut job = spec(2, 1_000);
+    (job.steps[0].lasting, job.steps[0].tail) = (true, Some(Duration::from_millis(target)));
+    job.steps[0].spread = Some(1);
+    job
+}
+
+fn filling(tasks: u32) -> JobSpec {
+    let mut job = spec(tasks, 30_000);
+    job.queue.priority = 2;
+    job.steps[0].fills = true;
+    job
+}
+
+/// Load: fillers that take the tail of what serves beside them to more than its target.
+#[test]
+fn fillers_give_way_to_what_serves() {
+    struct Case {
+        name: &'static str,
+        target: u64,
+        take_over: bool,
+        expected: fn(u64) -> bool,
+    }
+    let cases = [
+        Case { name: "no room for any", target: 65, take_over: false, expected: |speed| speed <= 20 },
+        Case { name: "room for some", target: 150, take_over: false, expected: |s| s > 0 && s < 100 },
+        Case { name: "room for all", target: 1_000, take_over: false, expected: |speed| speed == 100 },
+        Case { name: "new owner", target: 65, take_over: true, expected: |speed| speed <= 20 },
+    ];
+    for case in cases {
+        let mut world = World::new(1, 2);
+        world.run(100);
+        world.submit(1, serving(case.target));
+        world.run(500);
+        world.submit(2, filling(6));
+        let mut over = 0;
+        for step in 0..200 {
+            if case.take_over && step == 60 {
+                world.take_over(true);
+            }
+            world.run(100);
+            over = if world.worst_tail() > 100 { over + 100 } else { 0 };
+            assert!(over < 3_000, "{}: the tail was over its target for {over} ms", case.name);
+        }
+        let speeds = world.speeds();
+        assert!(speeds.iter().all(|speed| (case.expected)(*speed)), "{}: {speeds:?}", case.name);
+        assert_eq!(world.starts[&JobKey(1)], 2, "{}: what serves goes on", case.name);
+        assert_eq!(world.starts[&JobKey(2)], 6, "{}: a slow filler is left at work", case.name);
+    }
+}
--- a/yuccahoist/tests/shard/world.rs
+++ b/yuccahoist/tests/shard/world.rs
@@ -67,6 +67,11 @@
     need: Resources,
     started: Timestamp,
     gang: bool,
+    /// Whether the run fills, and at which speed in percent.
+    fills: bool,
+    share: u64,
+    /// Target of the tail of a run that serves, milliseconds.
+    tail: Option<u64>,
 }
 
 /// Member of a gang with its worker.
@@ -104,10 +109,14 @@
     }
 
     fn report(&self, now: Timestamp) -> Report {
+        // Each filler at full speed adds 40 ms to a tail of 60 ms.
+        let fillers = self.runs.values().filter(|r| r.fills);
+        let tail = 60 + fillers.map(|r| r.share * 40 / 100).sum::<u64>();
         let active = self.runs.iter().map(|((task, run), state)| {
+            let load = state.tail.map_or(0, |_| tail);
             let length = state.ends.since(state.started).as_millis().max(1);
             let percent = u32::try_from(now.since(state.started).as_millis() * 100 / length).unwrap_or(100);
-            ActiveRun { task: *task, run: *run, saved: String::new(), percent: percent.min(100), load: 0 }
+            ActiveRun { task: *task, run: *run, saved: String::new(), percent: percent.min(100), load }
         });
         Report {
             born: Some(self.entry.life.born),
@@ -279,7 +288,7 @@
                 self.later(delay, Delivery::Order(epoch, action));
                 self.later(ORDER_LIMIT_MS, Delivery::Event(epoch, silent));
             }
-            Action::Start { .. } | Action::Stop { .. } | Action::Hold { .. } => {
+            Action::Start { .. } | Action::Stop { .. } | Action::Pace { .. } | Action::Hold { .. } => {
                 self.later(CALL_MS / 2, Delivery::Order(epoch, action));
             }
             Action::Advise { step, workers, .. } => {
@@ -507,6 +516,15 @@
                 }
                 Some(Event::Stopped(task, run, life, Ok(())))
             }
+            Action::Pace { task, run, share, .. } => {
+                if fenced {
+                    return Some(Event::Paced(task, run, life, Err(OrderError::Fenced)));
+                }
+                if let Some(state) = worker.runs.get_mut(&(task, run)) {
+                    state.share = u64::from(share);
+                }
+                Some(Event::Paced(task, run, life, Ok(())))
+            }
             Action::Start { task, run, deadline, spec, .. } => {
                 let error = if fenced {
                     Some(OrderError::Fenced)
@@ -547,7 +565,7 @@
         *self.starts.entry(task.step.job).or_default() += 1;
         let kind = if self.rng.random_bool(self.faults.failing) { EndKind::Failed } else { EndKind::Done };
         let worker = self.workers.get_mut(life).expect("known worker");
-        let used = worker.runs.values().fold(Resources::ZERO, |sum, r| sum + r.need) + shape.need;
+        let used = worker.runs.values().fold(Resources::ZERO, |sum, r| sum + r.need) + shape.reserved();
         assert!(used.fits(CAPACITY), "{task} overloads {life}: {used}");
         let there = worker.runs.keys().filter(|(t, _)| t.step == task.step).count();
         assert!(
@@ -555,11 +573,14 @@
             "{task} is beside {there} others on {life}"
         );
         let state = Run {
-            ends: self.now + shape.estimate,
+            ends: self.now + if shape.lasting { Duration::from_secs(100_000) } else { shape.estimate },
             kind,
-            need: shape.need,
+            need: shape.reserved(),
             started: self.now,
             gang: shape.gang,
+            fills: shape.fills,
+            share: 100,
+            tail: shape.tail.and_then(|t| u64::try_from(t.as_millis()).ok()),
         };
         worker.runs.insert((task, run), state);
     }
@@ -585,6 +606,23 @@
         self.accepted.contains(&JobKey(job))
     }
 
+    /// Speeds of the runs that fill, in percent.
+    pub fn speeds(&self) -> Vec<u64> {
+        let runs = self.workers.values().flat_map(|w| w.runs.values());
+        runs.filter(|r| r.fills).map(|r| r.share).collect()
+    }
+
+    /// Worst tail of the runs that serve, as a part of its target in percent.
+    pub fn worst_tail(&self) -> u64 {
+        let part = |w: &Worker| {
+            let report = w.report(self.now);
+            let load = |task: &TaskName| report.active.iter().find(|a| a.task == *task).map_or(0, |a| a.load);
+            let runs = w.runs.iter().filter_map(|((task, _), r)| Some(load(task) * 100 / r.tail?));
+            runs.max().unwrap_or(0)
+        };
+        self.workers.values().map(part).max().unwrap_or(0)
+    }
+
     /// Worker number of the runs of a task.
     pub fn places(&self, job: u64) -> Vec<usize> {
         let has = |w: &Worker| w.runs.keys().any(|(t, _)| t.step.job == JobKey(job));
@@ -604,7 +642,10 @@
 
 fn target(action: &Action) -> Life {
     match action {
-        Action::Hold { life, .. } | Action::Start { life, .. } | Action::Stop { life, .. } => life.clone(),
+        Action::Hold { life, .. }
+        | Action::Start { life, .. }
+        | Action::Stop { life, .. }
+        | Action::Pace { life, .. } => life.clone(),
         other => unreachable!("{other:?} has no worker"),
     }
 }
@@ -615,6 +656,7 @@
         Action::Hold { life, .. } => Event::Held(life, Err(error)),
         Action::Start { life, task, run, .. } => Event::Started(task, run, life, Err(error)),
         Action::Stop { life, task, run, .. } => Event::Stopped(task, run, life, Err(error)),
+        Action::Pace { life, task, run, .. } => Event::Paced(task, run, life, Err(error)),
         other => unreachable!("{other:?} has no worker"),
     }
 }
