Refuse what the hosts that are left can not ask recommendations for

Slow calls of less urgent steps filled the 64 places for calls, so that urgent steps could not even ask, and jobs were accepted whose steps nobody would ask about before the end.

A new job whose own call is slow is refused with a time to come back while all calls that wait take the hosts more than 5 s; a quick one counts only the calls before it.

--- a/yuccahoist/src/shard/desk.rs
+++ b/yuccahoist/src/shard/desk.rs
@@ -11,7 +11,7 @@
 use crate::unit::Timestamp;
 
 /// Longest call that counts as quick.
-const QUICK: Duration = Duration::from_millis(50); // Less than a tenth of the slack of the most urgent kind of job.
+pub const QUICK: Duration = Duration::from_millis(50); // Less than a tenth of the slack of the most urgent kind of job.
 /// One host in this many is left to quick calls.
 const QUICK_SHARE: usize = 3; // Quick calls make up a fifth of the time of all calls, and come in bursts of twice that.
 
@@ -46,6 +46,12 @@
 }
 
 impl Desk {
+    /// Number of hosts that can make calls.
+    #[must_use]
+    pub fn lanes(&self) -> usize {
+        self.lanes.len()
+    }
+
     /// Adds a host.
     pub fn open(&mut self, lane: Lane) {
         self.lanes.entry(lane).or_default();
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -88,6 +88,7 @@
     /// Hands an event to the owner, if it is still that of `epoch`, and carries out what follows.
     pub(super) fn owned(&mut self, now: Timestamp, epoch: Epoch, event: Event) {
         let Some(owner) = self.owner.as_mut().filter(|o| o.epoch() == epoch) else { return };
+        owner.set_lanes(self.desk.lanes());
         let wall = self.ports.clock.wall().as_millis();
         let mut actions = Vec::new();
         owner.handle(now, wall, event, &mut actions);
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -55,6 +55,13 @@
     }
 }
 
+/// Call for a recommendation.
+#[derive(Debug, Clone, Copy)]
+struct Question {
+    latest: Timestamp,
+    cost: Duration,
+}
+
 /// Effect of a batch that is stored.
 #[derive(Debug)]
 enum Effect {
@@ -116,7 +123,9 @@
     changed: bool,
     pauses: BTreeMap<(TaskName, u32), Timestamp>,
     checked: Timestamp,
-    asks: usize,
+    /// Calls for recommendations that are under way or wait for a host.
+    asks: BTreeMap<StepKey, Question>,
+    lanes: usize,
     counters: Counters,
     out: Vec<Action>,
 }
@@ -128,6 +137,11 @@
         self.options.ownership.epoch
     }
 
+    /// Notes how many hosts can ask for recommendations.
+    pub fn set_lanes(&mut self, lanes: usize) {
+        self.lanes = lanes;
+    }
+
     /// Counters.
     #[must_use]
     pub fn counters(&self) -> Counters {
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -63,7 +63,7 @@
             self.reply(call, Answer::Invalid(fault));
             return;
         }
-        if let Some((cause, retry)) = self.refusal() {
+        if let Some((cause, retry)) = self.refusal(now, &spec) {
             self.counters.refused += 1;
             log::info!(target: "decision", "submit job={key} queue={} outcome=refused cause={cause:?}", spec.queue.name);
             self.reply(call, Answer::Refused { cause, retry });
@@ -86,14 +86,15 @@
         self.refresh_job(now, key);
     }
 
-    fn refusal(&self) -> Option<(Refusal, Duration)> {
+    fn refusal(&self, now: Timestamp, spec: &JobSpec) -> Option<(Refusal, Duration)> {
         if !self.store || self.batch.jobs.len() >= UNSTORED {
             return Some((Refusal::StoreDown, RETURN));
         }
         let cores =
             self.workers.values().filter(|w| w.missing.is_none()).map(|w| w.entry.capacity.cpu.0).sum();
         let waiting = self.ranks.keys().filter_map(|s| self.jobs.get(&s.job)).map(|j| j.spec.work()).sum();
-        Load { waiting, cores }.refuse().map(|retry| (Refusal::Overload, retry))
+        let advice = self.advice_backlog(now, spec);
+        Load { waiting, cores, advice }.refuse().map(|retry| (Refusal::Overload, retry))
     }
 
     /// Takes back the jobs that were not handed to the store yet, and refuses them.
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -72,7 +72,8 @@
             changed: true,
             pauses: BTreeMap::new(),
             checked: now,
-            asks: 0,
+            asks: BTreeMap::new(),
+            lanes: 1,
             counters: Counters::default(),
             out: Vec::new(),
         };
--- a/yuccahoist/src/shard/owner/tickets.rs
+++ b/yuccahoist/src/shard/owner/tickets.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Owner;
+use super::{Owner, Question};
+use crate::shard::desk::QUICK;
 use crate::shard::id::{Life, StepKey};
 use crate::shard::message::Action;
-use crate::shard::spec::{AdviceCost, StepSpec};
+use crate::shard::spec::{AdviceCost, JobSpec, StepSpec};
 use crate::unit::Timestamp;
 
 /// Part of a ticket's validity that is kept for the way of the answer and of the start.
@@ -22,8 +23,8 @@
 const CHEAP: Duration = Duration::from_millis(60); // Below the slack of the most urgent kind of job.
 /// Workers named for each task of a step.
 const EACH_TASK: usize = 4; // Little more than a third of the workers may run a step of the strictest queue.
-/// Calls under way at a time, all hosts together.
-const CALLS: usize = 64; // Two calls under the length of one host's queue at the service, on two hosts.
+/// Calls that are under way or wait for a host.
+const CALLS: usize = 512; // Ten seconds of the quickest queue on one host; admission refuses before.
 /// Pause after a call that failed.
 const AGAIN: Duration = Duration::from_millis(200); // Less than one call of the slowest queue.
 
@@ -41,7 +42,7 @@
         let Some(cost) = job.spec.queue.advice else { return };
         let shape = &job.spec.steps[key.step as usize];
         let tickets = &mut job.occurrences[key.occurrence as usize][key.step as usize].tickets;
-        if tickets.pending || now < tickets.next || self.asks >= CALLS {
+        if tickets.pending || now < tickets.next || self.asks.len() >= CALLS {
             return;
         }
         let workers: Vec<Life> = if known.is_empty() {
@@ -53,13 +54,24 @@
             return;
         }
         tickets.pending = true;
-        self.asks += 1;
         self.counters.advice += 1;
         let cost = cost.call(workers.len());
         let latest = self.urgency(key).map_or(now, |u| u.latest());
+        self.asks.insert(key, Question { latest, cost });
         self.out.push(Action::Advise { step: key, workers, cost, latest });
     }
 
+    /// Time that the hosts need for the calls that a new job would wait for. A slow call waits for all, since the urgent
+    /// ones that come later go first.
+    pub(super) fn advice_backlog(&self, now: Timestamp, spec: &JobSpec) -> Duration {
+        let Some(cost) = spec.queue.advice else { return Duration::ZERO };
+        let own = cost.call(FEWEST);
+        let latest = now + spec.objective().saturating_sub(spec.chain());
+        let before = self.asks.values().filter(|q| own > QUICK || q.latest <= latest).map(|q| q.cost);
+        let hosts = u32::try_from(self.lanes).unwrap_or(u32::MAX).max(1);
+        (before.sum::<Duration>() + own) / hosts
+    }
+
     /// Asks for a step as soon as it may start, so that the answer is there when the next pass places it.
     pub(super) fn ask_first(&mut self, now: Timestamp, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job).filter(|j| j.spec.queue.advice.is_some()) else { return };
@@ -93,7 +105,7 @@
         asked: Vec<Life>,
         good: Option<Vec<(Arc<str>, String)>>,
     ) {
-        self.asks = self.asks.saturating_sub(1);
+        self.asks.remove(&key);
         self.changed = true;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(cost) = job.spec.queue.advice else { return };
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -168,19 +168,25 @@
     struct Case {
         name: &'static str,
         waiting: u64,
+        advice: u64,
         refused: bool,
     }
     let cores = 768_000;
     let cases = [
-        Case { name: "calm", waiting: 0, refused: false },
-        Case { name: "burst of ten seconds", waiting: 10 * cores, refused: false },
-        Case { name: "flood", waiting: 100 * cores, refused: true },
+        Case { name: "calm", waiting: 0, advice: 0, refused: false },
+        Case { name: "burst of ten seconds", waiting: 10 * cores, advice: 2_000, refused: false },
+        Case { name: "flood", waiting: 100 * cores, advice: 0, refused: true },
+        Case { name: "few hosts left", waiting: 0, advice: 8_000, refused: true },
     ];
     for case in cases {
-        let load = Load { waiting: case.waiting, cores };
+        let load = Load { waiting: case.waiting, cores, advice: ms(case.advice) };
         assert_eq!(load.refuse().is_some(), case.refused, "{}", case.name);
     }
-    assert_eq!(Load { waiting: 5, cores: 0 }.refuse(), None, "without workers a job waits for some");
+    assert_eq!(
+        Load { waiting: 5, cores: 0, advice: ms(0) }.refuse(),
+        None,
+        "without workers a job waits for some"
+    );
 }
 
 fn ask(number: u64, cost: u64, latest: u64) -> Ask {
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -4,9 +4,11 @@
 
 use assert_matches::assert_matches;
 use yuccahoist::shard::JobKey;
+use yuccahoist::shard::desk::{Desk, Lane};
 use yuccahoist::shard::message::{Answer, Refusal, Request};
 use yuccahoist::shard::record::JobState;
-use yuccahoist::shard::spec::{JobSpec, StepSpec};
+use yuccahoist::shard::spec::{AdviceCost, JobSpec, StepSpec};
+use yuccahoist::unit::Resources;
 
 use super::world::{World, spec};
 
@@ -186,7 +188,7 @@
     for number in 1..6 {
         let mut job = spec(4, 700);
         job.steps[0].spread = Some(2);
-        job.steps[0].need = yuccahoist::unit::Resources::new(500, 500, 0);
+        job.steps[0].need = Resources::new(500, 500, 0);
         world.submit(number, job);
     }
     world.run(40_000);
@@ -287,3 +289,54 @@
         assert_eq!(world.starts[&JobKey(2)], 6, "{}: a slow filler is left at work", case.name);
     }
 }
+
+/// Load: one host is left, and steps need more recommendations than it can ask for.
+#[test]
+fn what_one_host_can_not_ask_for_is_refused() {
+    let mut world = World::new(1, 12);
+    let mut desk = Desk::default();
+    desk.open(Lane::Own);
+    world.desk = Some(desk);
+    world.run(100);
+    struct Kind {
+        millis: u64,
+        stretch: f64,
+    }
+    // The quick queue is the most urgent one, the slowest comes second.
+    let kinds = [
+        Kind { millis: 700, stretch: 3.0 },
+        Kind { millis: 100, stretch: 100.0 },
+        Kind { millis: 11, stretch: 1.5 },
+    ];
+    for number in 1..=600 {
+        let kind = &kinds[match number % 20 {
+            0 => 0,
+            1..=4 => 1,
+            _ => 2,
+        }];
+        let mut job = spec(1, 500);
+        job.steps[0].need = Resources::new(100, 100, 0);
+        job.queue.target = Duration::from_millis(300);
+        job.queue.stretch = kind.stretch;
+        job.queue.advice = Some(AdviceCost {
+            decide: Duration::from_millis(kind.millis),
+            each: Duration::ZERO,
+            validity: Duration::from_millis(2_500),
+        });
+        world.submit(number, job);
+        world.run(25);
+    }
+    let accepted: Vec<u64> = (1..=600).filter(|number| world.is_accepted(*number)).collect();
+    let quick = accepted.iter().filter(|number| **number % 20 > 4).count();
+    assert!(quick > 440, "quick calls are never in the way: {quick}");
+    assert!(
+        accepted.len() > quick + 60,
+        "slow calls are made as far as possible: {}",
+        accepted.len() - quick
+    );
+    // The platform asks for every accepted job 14 s after the end of the traffic.
+    world.run(11_000);
+    for number in accepted {
+        assert_eq!(world.state(number), Some(JobState::Completed), "job {number}");
+    }
+}
--- a/yuccahoist/tests/shard/world.rs
+++ b/yuccahoist/tests/shard/world.rs
@@ -6,6 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use yuccahoist::shard::desk::{Ask, Desk, Lane};
 use yuccahoist::shard::message::{
     Action, ActiveRun, Answer, CallId, EndKind, EndedRun, Event, OrderError, Report, Request, WorkerEntry,
 };
@@ -131,6 +132,7 @@
 enum Delivery {
     Order(Epoch, Action),
     Event(Epoch, Event),
+    Advice(Epoch, Lane, u64),
 }
 
 /// Owner, store and workers.
@@ -145,6 +147,8 @@
     pub starts: BTreeMap<JobKey, u32>,
     pub store_up: bool,
     pub advised: u32,
+    /// Hosts that make calls for recommendations, if calls take their time.
+    pub desk: Option<Desk>,
     owner: Option<Owner>,
     epoch: Epoch,
     records: BTreeMap<String, Vec<u8>>,
@@ -172,6 +176,7 @@
             starts: BTreeMap::new(),
             store_up: true,
             advised: 0,
+            desk: None,
             owner: None,
             epoch: Epoch(0),
             records: BTreeMap::new(),
@@ -259,6 +264,9 @@
         let wall = self.wall();
         let mut actions = Vec::new();
         if let Some(owner) = &mut self.owner {
+            if let Some(desk) = &self.desk {
+                owner.set_lanes(desk.lanes());
+            }
             owner.handle(self.now, wall, event, &mut actions);
         }
         for action in actions {
@@ -291,6 +299,13 @@
             Action::Start { .. } | Action::Stop { .. } | Action::Pace { .. } | Action::Hold { .. } => {
                 self.later(CALL_MS / 2, Delivery::Order(epoch, action));
             }
+            Action::Advise { step, workers, cost, latest } if self.desk.is_some() => {
+                self.advised += 1;
+                self.desk
+                    .iter_mut()
+                    .for_each(|d| d.add(Ask { step, workers: workers.clone(), cost, latest }));
+                self.advise();
+            }
             Action::Advise { step, workers, .. } => {
                 self.advised += 1;
                 let good = workers.iter().map(|life| (life.id.clone(), "ticket".to_owned())).collect();
@@ -300,6 +315,15 @@
         }
     }
 
+    /// Begins the calls for which a host is free.
+    fn advise(&mut self) {
+        let epoch = self.epoch;
+        while let Some((lane, number, ask)) = self.desk.as_mut().and_then(Desk::take) {
+            let millis = u64::try_from(ask.cost.as_millis()).expect("short");
+            self.later(millis, Delivery::Advice(epoch, lane, number));
+        }
+    }
+
     fn note_answer(&mut self, number: u64, answer: &Answer) {
         match answer {
             Answer::Accepted => {
@@ -460,6 +484,14 @@
                     self.event(event);
                 }
             }
+            Delivery::Advice(epoch, lane, number) => {
+                let Some(ask) = self.desk.as_mut().and_then(|d| d.finish(lane, number)) else { return };
+                let good = ask.workers.iter().map(|life| (life.id.clone(), "ticket".to_owned())).collect();
+                if epoch == self.epoch {
+                    self.event(Event::Advised(ask.step, ask.workers, Some(good)));
+                }
+                self.advise();
+            }
             Delivery::Order(epoch, action) => {
                 let life = target(&action);
                 let worker = &self.workers[&life];
