--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -63,9 +63,18 @@
             self.reply(call, Answer::Invalid(fault));
             return;
         }
-        if let Some((cause, retry)) = self.refusal(now, &spec) {
+        let load = self.load(now, &spec);
+        if let Some((cause, retry)) = self.refusal(&load) {
             self.counters.refused += 1;
-            log::info!(target: "decision", "submit job={key} queue={} outcome=refused cause={cause:?}", spec.queue.name);
+            log::info!(
+                target: "decision",
+                "submit job={key} queue={} outcome=refused cause={cause:?} backlog_ms={} advice_ms={} unsent={} retry_s={}",
+                spec.queue.name,
+                load.backlog().as_millis(),
+                load.advice.as_millis(),
+                self.batch.jobs.len(),
+                retry.as_secs()
+            );
             self.reply(call, Answer::Refused { cause, retry });
             return;
         }
@@ -86,15 +95,19 @@
         self.refresh_job(now, key);
     }
 
-    fn refusal(&self, now: Timestamp, spec: &JobSpec) -> Option<(Refusal, Duration)> {
-        if !self.store || self.batch.jobs.len() >= UNSTORED {
-            return Some((Refusal::StoreDown, RETURN));
-        }
+    /// Load that a new job meets.
+    fn load(&self, now: Timestamp, spec: &JobSpec) -> Load {
         let cores =
             self.workers.values().filter(|w| w.missing.is_none()).map(|w| w.entry.capacity.cpu.0).sum();
         let waiting = self.ranks.keys().filter_map(|s| self.jobs.get(&s.job)).map(|j| j.spec.work()).sum();
-        let advice = self.advice_backlog(now, spec);
-        Load { waiting, cores, advice }.refuse().map(|retry| (Refusal::Overload, retry))
+        Load { waiting, cores, advice: self.advice_backlog(now, spec) }
+    }
+
+    fn refusal(&self, load: &Load) -> Option<(Refusal, Duration)> {
+        if !self.store || self.batch.jobs.len() >= UNSTORED {
+            return Some((Refusal::StoreDown, RETURN));
+        }
+        load.refuse().map(|retry| (Refusal::Overload, retry))
     }
 
     /// Takes back the jobs that were not handed to the store yet, and refuses them.
--- a/yuccahoist_standins/src/platform/mod.rs
+++ b/yuccahoist_standins/src/platform/mod.rs
@@ -10,6 +10,6 @@
 
 pub use self::fleet::{Fleet, FleetFaults, Submission, WorkerShape};
 pub use self::log::{Appended, KeyedLog, LogDown, LogFailure, LogMoods, NewestPage, Position};
-pub use self::order::{Ended, Hold, HoldReply, Refused, Start, Step, Stop};
+pub use self::order::{Ended, Hold, HoldReply, Pace, Refused, Start, Step, Stop};
 pub use self::proxy::{Proxy, Traffic};
 pub use self::serve::{advisor, store, worker};
--- a/yuccahoist_standins/src/platform/order.rs
+++ b/yuccahoist_standins/src/platform/order.rs
@@ -30,6 +30,10 @@
     pub requirements: String,
     /// Whether the tasks run until the job is cancelled.
     pub long_running: bool,
+    /// Limit of the tail of a task that serves, milliseconds; 0 for none.
+    pub target_ms: u64,
+    /// Whether the tasks take the processors that others leave unused.
+    pub fill_ratio: bool,
 }
 
 /// Order to start a run.
@@ -68,6 +72,21 @@
     pub fencing_token: u64,
 }
 
+/// Order to set the speed of a run.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Pace {
+    /// Task.
+    pub task_id: String,
+    /// Run.
+    pub run_id: u32,
+    /// Speed, percent.
+    pub percentage: u32,
+    /// Token.
+    #[serde(default)]
+    pub fencing_token: u64,
+}
+
 /// Order to extend the lease, confirm ends and list runs.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/yuccahoist_standins/src/platform/serve.rs
+++ b/yuccahoist_standins/src/platform/serve.rs
@@ -16,7 +16,7 @@
 
 use super::fleet::Fleet;
 use super::log::{KeyedLog, LogDown, LogFailure, Position};
-use super::order::{Hold, Refused, Start, Stop};
+use super::order::{Hold, Pace, Refused, Start, Stop};
 
 /// Records on one page.
 const PAGE: usize = 500;
@@ -182,6 +182,13 @@
     }
 }
 
+fn pace(fleet: &Shared, id: &str, order: &Pace) -> Response {
+    match with(fleet, |f| f.pace(id, order)) {
+        Ok(clock) => answer(StatusCode::OK, &json!({ "clockMs": clock })),
+        Err(refused) => refusal(fleet, id, refused),
+    }
+}
+
 async fn hold(fleet: Shared, id: String, order: Hold) -> Response {
     let until = Instant::now() + Duration::from_millis(order.max_wait_ms);
     let (name, last) = (id.clone(), order.last_seen);
@@ -230,6 +237,10 @@
                     Ok(order) => stop(fleet, id, order).await,
                     Err(error) => invalid(error),
                 },
+                "/pace" => match serde_json::from_slice(&body) {
+                    Ok(order) => pace(&fleet, &id, &order),
+                    Err(error) => invalid(error),
+                },
                 "/hold" => match serde_json::from_slice(&body) {
                     Ok(order) => hold(fleet, id, order).await,
                     Err(error) => invalid(error),
