Remove the experiment on load summaries between hosts

Cause: on the users' platform one host sees the whole room and no load summaries are exchanged; the scheme that the experiment measured had lost to all-to-all and was never used.

--- a/yuccahoist_bench/src/bin/experiment/main.rs
+++ b/yuccahoist_bench/src/bin/experiment/main.rs
@@ -1,6 +1,5 @@
 //! Experiments with the decision logic in model time.
 
-mod dissemination;
 mod packing;
 mod requests;
 
@@ -18,7 +17,6 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Experiment {
-    Dissemination(dissemination::Options),
     Requests(requests::Options),
     Packing(PackingCommand),
 }
@@ -26,7 +24,6 @@
 fn main() {
     let options: Options = argh::from_env();
     match options.experiment {
-        Experiment::Dissemination(options) => dissemination::run(&options),
         Experiment::Requests(options) => requests::run(&options),
         Experiment::Packing(options) => packing::run(&options),
     }
--- a/yuccahoist_bench/src/lib.rs
+++ b/yuccahoist_bench/src/lib.rs
@@ -1,6 +1,5 @@
 //! Benches and experiments for the decision logic.
 
 pub mod control;
-pub mod dissemination;
 pub mod packing;
 pub mod requests;
