Bound the lists of hosts that the owner sends

Ruled out: the owner's processor (9 %) and memory (244 MB of 512).

A host that joins gets a list of 48 at once; all get one a second at most after changes. hosts_are_told_of_others_in_bounds plays 300 joins; the old code had no such decision to test, by count it sent 45,000 lists of 150.

--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -6,6 +6,7 @@
 mod owning;
 pub mod patience;
 mod relay;
+pub mod roster;
 mod run;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 
 use self::campaign::{Outcome, Won};
 use self::frame::{Frame, FrameSender};
+use self::roster::Roster;
 use super::desk::Desk;
 use super::id::{Epoch, StepKey};
 use super::message::{Answer, Event, Refusal, Request};
@@ -190,6 +192,7 @@
     connection: u64,
     /// Addresses of other hosts, asked for the owner while the store does not answer.
     hosts: Vec<String>,
+    roster: Roster,
     probing: bool,
     doubted: bool,
     connected: Timestamp,
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -5,6 +5,7 @@
 
 use super::frame::Frame;
 use super::relay::{SILENCE, tell};
+use super::roster::Roster;
 use super::{HostState, Input, Question, Won};
 use crate::shard::Owner;
 use crate::shard::desk::{Desk, Lane};
@@ -145,7 +146,10 @@
                 log::info!(target: "decision", "host host={host} epoch={epoch} outcome=joined");
                 peer.address = Some(address);
                 self.desk.open(Lane::Link(link));
-                self.tell_hosts();
+                if !sender.send(Frame::Hosts(self.joined())) {
+                    log::debug!("a host's connection is closed");
+                }
+                self.roster.joined();
                 self.ask_next();
             }
             Frame::Hello { host, epoch: meant, .. } => {
@@ -164,11 +168,18 @@
         self.announced.as_ref().filter(|a| !a.released).map(|a| a.ownership.clone())
     }
 
-    /// Tells all hosts which hosts have joined.
-    fn tell_hosts(&mut self) {
-        let own = self.settings.address.to_string();
+    /// Hosts that others are told of.
+    fn joined(&self) -> Vec<String> {
         let joined = self.links.values().filter_map(|peer| peer.address.clone());
-        let hosts: Vec<String> = joined.chain([own]).collect();
+        Roster::list(self.settings.address.to_string(), joined)
+    }
+
+    /// Tells all hosts which hosts have joined, if that is due.
+    pub(super) fn tell_hosts(&mut self, now: Timestamp) {
+        if !self.roster.due(now) {
+            return;
+        }
+        let hosts = self.joined();
         for peer in self.links.values().filter(|peer| peer.address.is_some()) {
             if !peer.sender.send(Frame::Hosts(hosts.clone())) {
                 log::debug!("a host's connection is closed");
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -343,6 +343,7 @@
             self.owned(now, epoch, Event::Tick);
             self.cut_since = None;
             self.tell_doubt();
+            self.tell_hosts(now);
         } else if self.link.as_ref().is_none_or(|link| !link.joined) {
             self.cut_since.get_or_insert(now);
         }
--- a/yuccahoist/src/shard/host/run.rs
+++ b/yuccahoist/src/shard/host/run.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::frame::split;
+use super::roster::Roster;
 use super::{HostHandle, HostSettings, HostState, HostStatus, INBOX, Input, Ports, Question};
 use crate::shard::desk::Desk;
 use crate::shard::id::{Epoch, StepKey};
@@ -54,6 +55,7 @@
         connecting: false,
         connection: 0,
         hosts: Vec::new(),
+        roster: Roster::default(),
         probing: false,
         doubted: false,
         connected: Timestamp::ZERO,
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -6,6 +6,7 @@
 use yuccahoist::shard::desk::{Ask, Desk, Lane};
 use yuccahoist::shard::health::Health;
 use yuccahoist::shard::host::patience::Patience;
+use yuccahoist::shard::host::roster::Roster;
 use yuccahoist::shard::lease::Lease;
 use yuccahoist::shard::order::{Band, Urgency};
 use yuccahoist::shard::pacing::Pace;
@@ -280,3 +281,23 @@
         assert_eq!(pace.after(now, case.tail).share, case.expected, "{}", case.name);
     }
 }
+
+/// Load: hundreds of hosts that join within a second; lists of all to all filled the owner's link.
+#[test]
+fn hosts_are_told_of_others_in_bounds() {
+    let (mut roster, mut lists, mut joined) = (Roster::default(), 0, Vec::new());
+    for number in 0..300_u64 {
+        joined.push(format!("10.1.{}.{}:7720", number / 250, number % 250));
+        roster.joined();
+        lists += 1; // The one to the host itself.
+        if roster.due(at(10_000 + number * 5)) {
+            lists += joined.len();
+        }
+    }
+    let list = Roster::list("10.0.0.1:7720".into(), joined.iter().cloned());
+    let bytes = list.iter().map(String::len).sum::<usize>() * lists;
+    assert!(bytes < 1_000_000, "{lists} lists of {} hosts are {bytes} bytes", list.len());
+    assert!(list.len() > 40, "enough are left when many are lost");
+    assert!(roster.due(at(12_000)), "all learn of the last ones");
+    assert!(!roster.due(at(20_000)), "without a change there is nothing to tell");
+}
