Make the stand-in's workers in one place

Cause: the start and the restart of a worker listed the same thirteen fields (read-through, list of duplicates).

Ruled out: a default for the worker, which has no sensible shape.

--- a/yuccahoist_standins/src/platform/fleet.rs
+++ b/yuccahoist_standins/src/platform/fleet.rs
@@ -104,6 +104,25 @@
 }
 
 impl Worker {
+    /// Worker that has just started and knows nothing.
+    const fn new(shape: WorkerShape, born: u64, offset: u64, speed: u64) -> Self {
+        Self {
+            shape,
+            born,
+            offset,
+            speed,
+            up: true,
+            draining: false,
+            token: 0,
+            lease: 0,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            number: 0,
+            voided: 0,
+            highest: BTreeMap::new(),
+        }
+    }
+
     fn clock(&self, now: u64) -> u64 {
         now.saturating_sub(self.offset) * self.speed / 100
     }
@@ -179,22 +198,8 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut workers = BTreeMap::new();
         for shape in shapes {
-            let worker = Worker {
-                born: wall,
-                offset: 0,
-                // Clocks may be two hundredths slow.
-                speed: rng.random_range(98..=100),
-                up: true,
-                draining: false,
-                token: 0,
-                lease: 0,
-                runs: BTreeMap::new(),
-                ends: Vec::new(),
-                number: 0,
-                voided: 0,
-                highest: BTreeMap::new(),
-                shape: shape.clone(),
-            };
+            // Clocks may be two hundredths slow.
+            let worker = Worker::new(shape.clone(), wall, 0, rng.random_range(98..=100));
             workers.insert(shape.id, worker);
         }
         Self {
@@ -340,21 +345,7 @@
     pub fn restart(&mut self, id: &str) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(id) {
-            *worker = Worker {
-                shape: worker.shape.clone(),
-                born: worker.born + now,
-                offset: now,
-                speed: worker.speed,
-                up: true,
-                draining: false,
-                token: 0,
-                lease: 0,
-                runs: BTreeMap::new(),
-                ends: Vec::new(),
-                number: 0,
-                voided: 0,
-                highest: BTreeMap::new(),
-            };
+            *worker = Worker::new(worker.shape.clone(), worker.born + now, now, worker.speed);
         }
     }
 
