Send stop orders that came before the registry was read

Cause: an owner that has just taken over knows the workers of its inherited runs only by id. Ruled out: the answer to the cancellation and its record were right; runs of jobs that the records already hold as ended were stopped. Change: an order without an address stays due until the registry lists the worker or its inherited lease ends. A job that began is recorded as running, so that a later owner does not show it as queued, nor count it among the waiting jobs. Test: the simulated cluster learns registry entries that come late and workers that start anew. Table of fresh owners, and a property over takeovers, late entries, new incarnations and cancellations: no run of an ended job is left and each task of a lasting job runs.

--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -76,6 +76,8 @@
         let Some(job) = self.jobs.get_mut(&key).filter(|j| j.state == JobState::Queued) else { return };
         job.state = JobState::Running;
         job.visible_state = JobState::Running;
+        // A later owner must not show the job as queued again.
+        self.batch.progress.insert(key);
         let queue = job.spec.queue.name.clone();
         self.adjust_queued_jobs(&queue, -1);
     }
@@ -140,10 +142,13 @@
         self.send_stop(task, run, &incarnation);
     }
 
+    /// Sends a stop order; before the registry has listed the worker, the order is left to the next check.
     pub(super) fn send_stop(&mut self, task: TaskKey, run: u32, incarnation: &WorkerIncarnation) {
-        let Some(worker) = self.workers.get(incarnation).filter(|w| !w.entry.address.is_empty()) else {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        if worker.entry.address.is_empty() {
+            self.stop_retries.insert((task, run), Timestamp::ZERO);
             return;
-        };
+        }
         let address = worker.entry.address.clone();
         self.actions.push(Action::Stop { incarnation: incarnation.clone(), address, task, run });
     }
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -104,6 +104,34 @@
 }
 
 impl Worker {
+    fn new(number: u32, started_at: u64) -> Self {
+        let entry = WorkerEntry {
+            incarnation: WorkerIncarnation::new(&format!("w{number}"), started_at),
+            service: "service".into(),
+            address: format!("w{number}:1"),
+            zone: "zone".into(),
+            rack: Some(format!("rack-{}", number / 4).into()),
+            labels: [].into(),
+            capacity: WORKER_CAPACITY,
+            draining: false,
+            remaining: None,
+        };
+        Self {
+            entry,
+            fence: Epoch(0),
+            deadline: 0,
+            clock_offset: u64::from(number) * 1_000,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            last_lapsed: 0,
+            highest_runs: BTreeMap::new(),
+            pending_report: None,
+            unreachable_until: Timestamp::ZERO,
+            receives_calls: false,
+        }
+    }
+
     fn clock(&self, now: Timestamp) -> u64 {
         now.as_micros() / 1_000 + self.clock_offset
     }
@@ -139,6 +167,8 @@
 enum Delivery {
     Order(Epoch, Action),
     Event(Epoch, Event),
+    /// Registry entry of the worker of this number, as it is on arrival.
+    Registration(Epoch, usize),
     /// Answer to a recommendation request, by the host that made it and its number there.
     Recommendation(Epoch, RequestHost, u64),
 }
@@ -155,6 +185,8 @@
     /// Number of started runs by job.
     pub starts: BTreeMap<JobKey, u32>,
     pub store_up: bool,
+    /// Longest time after which a new owner, or a new incarnation of a worker, sees the registry entry, milliseconds.
+    pub max_registry_delay: u64,
     /// Number of recommendation requests.
     pub requests: u32,
     /// Queue of recommendation requests; without it each is answered after 20 ms.
@@ -188,6 +220,7 @@
             visible_states: BTreeMap::new(),
             starts: BTreeMap::new(),
             store_up: true,
+            max_registry_delay: 0,
             requests: 0,
             request_queue: None,
             owner: None,
@@ -205,33 +238,8 @@
             last_delivery: 0,
         };
         for number in 0..workers {
-            let incarnation = WorkerIncarnation::new(&format!("w{number}"), 1);
-            let entry = WorkerEntry {
-                incarnation: incarnation.clone(),
-                service: "service".into(),
-                address: format!("w{number}:1"),
-                zone: "zone".into(),
-                rack: Some(format!("rack-{}", number / 4).into()),
-                labels: [].into(),
-                capacity: WORKER_CAPACITY,
-                draining: false,
-                remaining: None,
-            };
-            let worker = Worker {
-                entry,
-                fence: Epoch(0),
-                deadline: 0,
-                clock_offset: u64::from(number) * 1_000,
-                runs: BTreeMap::new(),
-                ended: Vec::new(),
-                last_end: 0,
-                last_lapsed: 0,
-                highest_runs: BTreeMap::new(),
-                pending_report: None,
-                unreachable_until: Timestamp::ZERO,
-                receives_calls: false,
-            };
-            cluster.workers.insert(incarnation, worker);
+            let worker = Worker::new(number, 1);
+            cluster.workers.insert(worker.entry.incarnation.clone(), worker);
         }
         cluster.take_over(true);
         cluster
@@ -257,10 +265,24 @@
         }
         let options = OwnerOptions::new(ownership, Duration::from_secs(10));
         self.owner = Some(Owner::restore(options, records, self.now, self.wall()));
-        let entries: Vec<WorkerEntry> = self.workers.values().map(|w| w.entry.clone()).collect();
-        for entry in entries {
-            self.handle_event(Event::Worker(entry));
-        }
+        (0..self.workers.len()).for_each(|number| self.register(number));
+    }
+
+    /// Shows the owner the registry entry of a worker, at once or after a random delay.
+    fn register(&mut self, number: usize) {
+        let delay = self.rng.random_range(0..=self.max_registry_delay);
+        let registration = Delivery::Registration(self.epoch, number);
+        if delay == 0 { self.deliver(registration) } else { self.deliver_after(delay, registration) }
+    }
+
+    /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs.
+    pub fn restart_worker(&mut self, number: usize) {
+        let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
+        self.workers.remove(&incarnation);
+        let worker =
+            Worker::new(u32::try_from(number).expect("few workers"), incarnation.started_at + 1);
+        self.workers.insert(worker.entry.incarnation.clone(), worker);
+        self.register(number);
     }
 
     pub fn submit(&mut self, number: u64, spec: JobSpec) {
@@ -516,6 +538,12 @@
                     self.handle_event(event);
                 }
             }
+            Delivery::Registration(epoch, number) => {
+                let entry = self.workers.values().nth(number).map(|w| w.entry.clone());
+                if let Some(entry) = entry.filter(|_| epoch == self.epoch) {
+                    self.handle_event(Event::Worker(entry));
+                }
+            }
             Delivery::Recommendation(epoch, host, number) => {
                 let Some(request) = self.request_queue.as_mut().and_then(|q| q.complete(host, number)) else {
                     return;
@@ -532,7 +560,10 @@
             }
             Delivery::Order(epoch, action) => {
                 let incarnation = target_worker(&action);
-                let worker = &self.workers[&incarnation];
+                let Some(worker) = self.workers.get(&incarnation) else {
+                    let error = failed_order(&action, OrderError::OtherIncarnation);
+                    return self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Event(epoch, error));
+                };
                 if worker.unreachable_until > self.now && !worker.receives_calls {
                     self.deliver_after(ORDER_TIMEOUT_MS, Delivery::Event(epoch, unanswered(&action)));
                     return;
@@ -678,6 +709,22 @@
         state
     }
 
+    /// Checks, after a calm period, that no run of an ended job is left, and that each task of a lasting job runs.
+    pub fn check_settled(&mut self) {
+        let specs: Vec<_> = self.specs.iter().map(|(key, spec)| (*key, spec.clone())).collect();
+        for (key, spec) in specs {
+            let state = self.query_state(key.0);
+            let runs = self.workers.values().flat_map(|w| w.runs.keys()).filter(|(t, _)| t.step.job == key);
+            let running: BTreeSet<TaskKey> = runs.map(|(task, _)| *task).collect();
+            if state.is_none_or(JobState::is_final) {
+                assert!(running.is_empty(), "{running:?} run on, and job {key} is {state:?}");
+            } else if spec.steps.iter().any(|s| s.long_running) {
+                let tasks: u32 = spec.steps.iter().map(|s| s.tasks).sum();
+                assert_eq!(running.len(), tasks as usize, "job {key} is {state:?}, only {running:?} run");
+            }
+        }
+    }
+
     /// Returns whether the owner has accepted a job.
     pub fn is_accepted(&self, job: u64) -> bool {
         self.accepted.contains(&JobKey(job))
@@ -729,7 +776,11 @@
 
 /// Returns the event that follows an order without an answer.
 fn unanswered(action: &Action) -> Event {
-    let error = OrderError::Silent;
+    failed_order(action, OrderError::Silent)
+}
+
+/// Returns the event that follows an order that failed with `error`.
+fn failed_order(action: &Action, error: OrderError) -> Event {
     match action.clone() {
         Action::ExtendLease { incarnation, .. } => Event::LeaseAnswered(incarnation, Err(error)),
         Action::Start { incarnation, task, run, .. } => Event::Started(task, run, incarnation, Err(error)),
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -6,3 +6,4 @@
 mod faults;
 mod owner;
 mod records;
+mod takeover;
