Resume writes and starts at once after an outage of the store

Workers whose registry entries the store had forgotten got no task until they registered again, though they answered. Ruled out: campaigns of other hosts and reads of the registry; both were done before the write. Change: tries of one batch overlap (host/appender.rs): a further one starts 0.25 s after the last, on the same sequence number, by which the store executes one. A store that refuses is asked every 0.2 to 0.3 s. A worker that the registry dropped during an outage counts as listed for the 2 s in which it may register again, while it answers. Test: appender in virtual time against a store that swallows, refuses, loses answers or is slow, ended in each phase; owner after an outage with entries lost, with live and with silent workers.

--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -1,5 +1,6 @@
 //! Host: relays the requests of callers to the owner of the shard, or is the owner itself after a takeover.
 
+pub mod appender;
 pub mod campaign;
 pub mod frame;
 pub mod host_directory;
--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -1,15 +1,14 @@
 //! Execution of the owner's actions: I/O tasks whose results return as inputs of the host.
 
-use rand::RngExt;
 use tokio::sync::mpsc;
 
+use super::appender::{AppendError, Appender};
 use super::frame::Frame;
 use super::relay::send_input;
-use super::write_timeouts::WriteTimeouts;
 use super::{HostState, Input};
 use crate::shard::id::Epoch;
 use crate::shard::message::{Action, Event};
-use crate::shard::ports::{LeaseOrder, PaceOrder, StartOrder, StoreError};
+use crate::shard::ports::{LeaseOrder, PaceOrder, StartOrder};
 use crate::shard::record::Entry;
 use crate::shard::request_queue::RecommendationRequest;
 use crate::unit::Timestamp;
@@ -98,31 +97,17 @@
     pub(super) fn spawn_appender(&mut self, epoch: Epoch, claim_sequence: u64) -> mpsc::Sender<Vec<Entry>> {
         let (sender, mut batches) = mpsc::channel::<Vec<Entry>>(1);
         let (store, inbox) = (self.ports.store.clone(), self.inbox.clone());
+        let mut appender = Appender::new(store, epoch, claim_sequence);
         tokio::spawn(async move {
-            let mut sequence = claim_sequence;
-            let mut timeouts = WriteTimeouts::default();
             while let Some(entries) = batches.recv().await {
-                sequence += 1;
-                let mut tries = 0;
-                let mut started = tokio::time::Instant::now();
-                while let Err(error) = store.append(epoch, sequence, &entries, timeouts.timeout(tries)).await
-                {
-                    if let StoreError::Fenced { .. } | StoreError::Conflict { .. } = error {
-                        log::info!(target: "decision", "append epoch={epoch} sequence={sequence} outcome=fenced error={error}");
+                match appender.append(&entries, || batches.is_closed() || inbox.is_closed()).await {
+                    Ok(()) => send_input(&inbox, Input::OwnerEvent(epoch, Event::Stored)).await,
+                    Err(AppendError::Abandoned) => return,
+                    Err(AppendError::Fenced(error)) => {
+                        log::info!(target: "decision", "append epoch={epoch} outcome=fenced error={error}");
                         return send_input(&inbox, Input::Fenced(epoch)).await;
                     }
-                    if batches.is_closed() || inbox.is_closed() {
-                        return;
-                    }
-                    log::info!(target: "decision", "append epoch={epoch} sequence={sequence} outcome=repeat error={error}");
-                    tries += 1;
-                    let jitter = rand::rng().random_range(1.0..2.0);
-                    tokio::time::sleep(WriteTimeouts::retry_delay(tries, started.elapsed()).mul_f64(jitter))
-                        .await;
-                    started = tokio::time::Instant::now();
                 }
-                timeouts.record_duration(started.elapsed());
-                send_input(&inbox, Input::OwnerEvent(epoch, Event::Stored)).await;
             }
         });
         sender
--- a/yuccahoist/src/shard/host/write_timeouts.rs
+++ b/yuccahoist/src/shard/host/write_timeouts.rs
@@ -1,15 +1,18 @@
 //! Timeout and backoff of appends to the store.
 //!
-//! An append whose answer was lost should be retried soon, one to a slow store should not. The timeout therefore
-//! follows the durations of the last appends. A store that refuses or resets each call at once is retried with
+//! An append whose answer was lost should be retried soon, one to a slow store should not. The time after which a try is
+//! overdue, and another one starts, therefore follows the durations of the last appends. A store that refuses or resets each call at once is retried with
 //! exponential backoff.
 
 use std::time::Duration;
 
-/// Shortest timeout of a first try. A write takes 9 ms, and a host may be slowed down by a factor of five.
+/// Shortest time until a first try is overdue. A write takes 9 ms, and a host may be slowed down by a factor of five.
 const MIN_APPEND_TIMEOUT: Duration = Duration::from_millis(70);
-/// Longest timeout of any try; below the time after which other hosts count a silent owner as dead.
-const MAX_APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time after which a try is given up; three writes to a slow store.
+pub const MAX_APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest time until a try is overdue, unless the last appends took longer. Appends resume this soon after an outage, at
+/// the price of four calls a second.
+const MAX_TRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Tries before the timeout doubles; two lost answers in a row are usual where one in three is lost.
 const TRIES_PER_TIMEOUT: u32 = 2;
 /// Weight of the last duration in the mean, in eighths. The timeout follows a slower store after four writes.
@@ -17,8 +20,8 @@
 
 /// Base of the backoff between tries; about the duration of a write.
 const BASE_BACKOFF: Duration = Duration::from_millis(15);
-/// Longest backoff between tries. Appends resume within half a second after the store has recovered.
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// Longest backoff between tries that the store refuses; appends resume this soon after it serves again.
+const MAX_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Append timeout that follows the mean duration of appends.
 #[derive(Debug, Clone, Copy)]
@@ -33,12 +36,13 @@
 }
 
 impl WriteTimeouts {
-    /// Returns the timeout of a try after `tries` failed ones.
+    /// Returns the time after which a try is overdue that follows `tries` others.
     #[must_use]
     pub fn timeout(&self, tries: u32) -> Duration {
-        (self.mean * 4)
-            .max(MIN_APPEND_TIMEOUT)
+        let usual = (self.mean * 4).max(MIN_APPEND_TIMEOUT);
+        usual
             .saturating_mul(1 << (tries / TRIES_PER_TIMEOUT).min(4))
+            .min(MAX_TRY_INTERVAL.max(usual))
             .min(MAX_APPEND_TIMEOUT)
     }
 
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -100,7 +100,7 @@
         let cpu_capacity = self
             .workers
             .values()
-            .filter(|w| w.unlisted_since.is_none())
+            .filter(|w| w.unlisted_since.is_none() || now < w.reregisters_until)
             .map(|w| w.entry.capacity.cpu.0)
             .sum();
         let backlog_work =
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -128,17 +128,19 @@
     }
 
     pub(super) fn on_worker_unlisted(&mut self, now: Timestamp, id: &str) {
+        // The registry may answer before the store takes writes again.
+        let reregisters_until = if self.store_up { self.recovered_at } else { now } + REREGISTRATION_TIME;
         let incarnations: Vec<WorkerIncarnation> =
             self.workers.keys().filter(|i| &*i.id == id).cloned().collect();
         for incarnation in incarnations {
             let Some(worker) = self.workers.get_mut(&incarnation) else { continue };
             let has_left = worker.entry.draining && !worker.is_responsive;
-            let reregistering = now < self.recovered_at + REREGISTRATION_TIME;
             log::info!(target: "decision", "worker worker={incarnation} outcome=unlisted draining={}", worker.entry.draining);
-            if has_left && !reregistering {
+            if has_left && now >= reregisters_until {
                 self.end_incarnation(now, &incarnation, "deregistered after draining");
             } else if worker.unlisted_since.is_none() {
                 worker.unlisted_since = Some(now);
+                worker.reregisters_until = reregisters_until;
             }
         }
     }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -25,6 +25,8 @@
     pub entry: WorkerEntry,
     /// When the registry ceased to list the worker; `None` while it is listed.
     pub unlisted_since: Option<Timestamp>,
+    /// Until when an unlisted worker may register again; it counts as listed while it answers.
+    pub reregisters_until: Timestamp,
     /// Whether the worker has reported its runs under this owner's epoch.
     pub has_reported: bool,
     /// Whether the worker is responsive, i.e. answered the last call.
@@ -58,6 +60,7 @@
         Self {
             entry,
             unlisted_since: None,
+            reregisters_until: Timestamp::ZERO,
             has_reported: false,
             is_responsive: true,
             last_report: now,
@@ -104,7 +107,7 @@
     /// Whether new tasks may be placed on the worker; isolation is checked apart.
     #[must_use]
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        self.unlisted_since.is_none()
+        (self.unlisted_since.is_none() || now < self.reregisters_until)
             && self.has_reported
             && self.is_responsive
             && !self.entry.draining
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the shard owner, its scheduling decisions, takeover campaigns and records, without a network.
 
+mod appender;
 mod campaign;
 mod cluster;
 mod decisions;
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -352,3 +352,45 @@
         assert_eq!(cluster.query_state(number), Some(JobState::Completed), "job {number}");
     }
 }
+
+/// The store forgot the registry entries of live workers during an outage; nothing was started until they had registered
+/// again.
+#[test]
+fn workers_serve_while_they_register_again() {
+    struct Case {
+        name: &'static str,
+        outage_ms: u64,
+        answers: bool,
+        expected: Option<JobState>,
+    }
+    let cases = [
+        Case {
+            name: "live workers after an outage",
+            outage_ms: 3_000,
+            answers: true,
+            expected: Some(JobState::Completed),
+        },
+        Case {
+            name: "silent workers after an outage",
+            outage_ms: 3_000,
+            answers: false,
+            expected: Some(JobState::Queued),
+        },
+        Case { name: "without an outage", outage_ms: 0, answers: true, expected: Some(JobState::Queued) },
+    ];
+    for case in cases {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(3_000);
+        cluster.store_up = case.outage_ms == 0;
+        cluster.advance(case.outage_ms);
+        (0..3).for_each(|worker| cluster.unlist(worker));
+        if !case.answers {
+            (0..3).for_each(|worker| cluster.disconnect(worker, 5_000, false));
+        }
+        cluster.store_up = true;
+        cluster.advance(1_000);
+        cluster.submit(1, spec(2, 200));
+        cluster.advance(600);
+        assert_eq!(cluster.query_state(1), case.expected, "{}", case.name);
+    }
+}
