Replace a silent owner within one second

All 97 hosts watched and read the records at the same moment, 1 MB each of the 80 MB a second that all share. Change: heartbeats each 0.16 s, so that 0.4 s without an append suffice; silence after 0.5 s; campaigns spread over 4 ms for each known host, and hosts of 0.12 cores 0.2 s behind strong ones (0.06 s before, less than a claim takes). Test: the delays of whole cells, from three hosts to 97: the first claims within 50 ms on average, twelve hosts at most read the records before it has claimed (97 before), a weak one wins at most once in ten. Campaign and cluster tests pass.

--- a/yuccahoist/src/shard/host/campaign.rs
+++ b/yuccahoist/src/shard/host/campaign.rs
@@ -15,6 +15,16 @@
 /// Time without an append to the log after which a silent owner counts as dead: two heartbeats and a slow write.
 const LOG_IDLE_PERIOD: Duration =
     HEARTBEAT_INTERVAL.saturating_mul(5).checked_div(2).expect("divisor is not zero");
+/// Random part of the delay of a campaign of a host that knows no other.
+const BASE_SPREAD: Duration = Duration::from_millis(40);
+/// Additional spread for each known host: the first of them claims as early as with few hosts, and has claimed before most
+/// others read all records.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(4);
+/// Additional delay of a campaign at a CPU share of zero; it falls linearly to none at [`STRONG_CPU_SHARE`]. Half of it is
+/// longer than a claim and the read before it in a cell of some five hundred workers.
+const MAX_WEAK_DELAY: Duration = Duration::from_millis(400);
+/// CPU share, in cores, from which on a campaign has no additional delay; enough to own a shard of some fifty workers.
+const STRONG_CPU_SHARE: f64 = 0.25;
 /// Retries of a claim or announcement; after a third loss in a row the store counts as unreachable from this host.
 const MAX_STORE_RETRIES: u32 = 2;
 
@@ -58,6 +68,14 @@
     OwnerAlive,
 }
 
+/// Returns the delay of a campaign on a host with `cpu_share` cores that knows `hosts` others; `random` is between 0 and 1.
+#[must_use]
+pub fn campaign_delay(cpu_share: f64, hosts: usize, random: f64) -> Duration {
+    let spread = BASE_SPREAD + SPREAD_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
+    let weakness = (1.0 - cpu_share / STRONG_CPU_SHARE).clamp(0.0, 1.0);
+    spread.mul_f64(random) + MAX_WEAK_DELAY.mul_f64(weakness)
+}
+
 /// Claims the shard and announces the new ownership.
 ///
 /// # Errors
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use tokio::net::TcpStream;
 
-use super::campaign::{Candidate, Outcome, campaign};
+use super::campaign::{Candidate, Outcome, campaign, campaign_delay};
 use super::frame::{Frame, split};
 use super::{HostState, Input, Loss, OwnerLink, PendingCall, RequestOrigin};
 use crate::shard::message::{Answer, CallId, Event, Refusal, Request};
@@ -18,20 +18,13 @@
 /// so until it has learned of a newer ownership.
 const MIN_RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of pings to the owner; two go unanswered before the owner counts as silent.
-const PING_INTERVAL: Duration = Duration::from_millis(250);
-/// Silence after which the owner may be dead: two ping intervals and a delay.
-pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// Silence after which the owner may be dead: a ping interval, and the 200 ms after which a lost packet is retransmitted.
+pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long after the loss of the owner unsent calls are kept before they are refused; a takeover takes 0.1 to 1.5 s.
 const UNSENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without an owner after which the host reports itself as not ready; longer than a takeover.
 const UNREADY_DELAY: Duration = Duration::from_millis(2_500);
-/// Upper limit of the random delay of a campaign, milliseconds; a claim takes 20 ms.
-const MAX_JITTER_MS: u64 = 40;
-/// Additional delay of a campaign at a CPU share of zero; it falls linearly to none at [`STRONG_CPU_SHARE`]. A stronger
-/// host can make six claims meanwhile.
-const MAX_WEAK_DELAY: Duration = Duration::from_millis(120);
-/// CPU share, in cores, from which on a campaign has no additional delay; enough to own a shard of some fifty workers.
-const STRONG_CPU_SHARE: f64 = 0.25;
 /// Base of the backoff after a campaign that failed or that another host won; a new owner is announced within 20 ms.
 const BASE_CAMPAIGN_BACKOFF: Duration = Duration::from_millis(300);
 /// Longest backoff between campaigns while an owner that this host can't reach still writes to the store. Campaigns
@@ -305,15 +298,14 @@
             return;
         }
         self.campaigning = true;
-        let jitter = Duration::from_millis(self.rng.random_range(0..MAX_JITTER_MS));
-        let weakness = (1.0 - self.settings.cpu_share / STRONG_CPU_SHARE).clamp(0.0, 1.0);
+        let delay = campaign_delay(self.settings.cpu_share, self.known_hosts.len(), self.rng.random());
         let candidate = Candidate {
             host: self.settings.name.clone(),
             address: self.settings.address.to_string(),
             epoch: self.epoch,
             cautious,
             sequence: u64::from(self.rng.random::<u32>()),
-            delay: jitter + MAX_WEAK_DELAY.mul_f64(weakness),
+            delay,
         };
         log::info!(target: "decision", "campaign epoch={} cautious={cautious}", self.epoch);
         let (store, inbox) = (self.ports.store.clone(), self.inbox.clone());
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -29,7 +29,7 @@
 
 /// Longest time between two writes of an owner. Other hosts take a log that does not grow as the sign of a dead owner
 /// and try to take over; this is less than half of the time after which they do.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(160);
 /// Age of the last confirmed write from which the owner no longer answers that a job is unknown; below the 3 s within
 /// which the platform requires an accepted job to be visible.
 const STALE_READ_AGE: Duration = Duration::from_millis(2_000);
--- a/yuccahoist/tests/shard/campaign.rs
+++ b/yuccahoist/tests/shard/campaign.rs
@@ -6,8 +6,10 @@
 
 use assert_matches::assert_matches;
 use async_trait::async_trait;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use yuccahoist::shard::Epoch;
-use yuccahoist::shard::host::campaign::{Candidate, Outcome, campaign};
+use yuccahoist::shard::host::campaign::{Candidate, Outcome, campaign, campaign_delay};
 use yuccahoist::shard::ports::{Announcement, Snapshot, Store, StoreError};
 use yuccahoist::shard::record::{Entry, Ownership, Record};
 
@@ -204,3 +206,43 @@
     let outcome = campaign(store, candidate("b", 3, 5, false)).await;
     assert_matches!(outcome, Ok(Outcome::Won(_)));
 }
+
+/// All hosts of a large cell read all records at the same moment, which took the store most of a second.
+#[test]
+fn few_hosts_claim_at_the_same_time() {
+    struct Case {
+        name: &'static str,
+        strong: usize,
+        weak: usize,
+    }
+    // Time that a claim and the read of three thousand records before it take.
+    let claim = Duration::from_millis(130);
+    let cases = [
+        Case { name: "three hosts", strong: 3, weak: 0 },
+        Case { name: "eight hosts", strong: 8, weak: 0 },
+        Case { name: "32 hosts", strong: 6, weak: 26 },
+        Case { name: "97 hosts", strong: 15, weak: 82 },
+    ];
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for case in cases {
+        let hosts = case.strong + case.weak;
+        let (mut first, mut readers, mut weak_owners) = (Duration::ZERO, 0, 0);
+        let rounds = 400;
+        for _ in 0..rounds {
+            let delays: Vec<(Duration, bool)> = (0..hosts)
+                .map(|host| {
+                    let is_weak = host >= case.strong;
+                    let delay = campaign_delay(if is_weak { 0.12 } else { 0.5 }, hosts.min(48), rng.random());
+                    (delay, is_weak)
+                })
+                .collect();
+            let (earliest, is_weak) = *delays.iter().min().expect("there are hosts");
+            first += earliest;
+            readers += delays.iter().filter(|(delay, _)| *delay < earliest + claim).count();
+            weak_owners += usize::from(is_weak);
+        }
+        assert!(first / rounds < Duration::from_millis(50), "{}: {:?}", case.name, first / rounds);
+        assert!(readers <= 12 * rounds as usize, "{}: {} readers", case.name, readers / rounds as usize);
+        assert!(weak_owners * 10 <= rounds as usize, "{}: {weak_owners} weak owners", case.name);
+    }
+}
