--- a/yuccahoist/src/api/job.rs
+++ b/yuccahoist/src/api/job.rs
@@ -9,8 +9,9 @@
 use warp::reply::Response;
 
 use super::reply::{self, FieldError};
-use super::{Api, BodyError, exceeds_limit, read_body};
+use super::{Api, exceeds_limit};
 use crate::actor::ReplySender;
+use crate::body::{self, BodyError};
 use crate::event::{HostEvent, JobCall, JobReply};
 use crate::id::JobId;
 use crate::job::JobSpec;
@@ -21,12 +22,13 @@
 pub(super) async fn submit<B: Buf>(
     api: Arc<Api>,
     headers: HeaderMap,
-    body: impl Stream<Item = Result<B, warp::Error>>,
+    stream: impl Stream<Item = Result<B, warp::Error>>,
 ) -> Response {
     if exceeds_limit(&headers, MAX_SPEC_BYTES) {
+        body::discard(stream).await;
         return too_large();
     }
-    let body = match read_body(body, MAX_SPEC_BYTES).await {
+    let body = match body::read(stream, MAX_SPEC_BYTES).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => return too_large(),
         Err(BodyError::Incomplete) => {
--- a/yuccahoist/src/api/mod.rs
+++ b/yuccahoist/src/api/mod.rs
@@ -10,8 +10,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use bytes::{Buf, Bytes, BytesMut};
-use futures::{Stream, StreamExt};
 use reqwest::StatusCode;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, SemaphorePermit, oneshot};
@@ -165,36 +163,6 @@
     Ok(reply::not_run(status, &[FieldError::new("request", reason, allowed)]))
 }
 
-enum BodyError {
-    TooLarge,
-    /// Connection closed before the end of the body.
-    Incomplete,
-}
-
-/// Reads a body of at most `limit` bytes. A body that arrives in a single chunk is not copied.
-async fn read_body<B: Buf>(
-    stream: impl Stream<Item = Result<B, warp::Error>>,
-    limit: usize,
-) -> Result<Bytes, BodyError> {
-    futures::pin_mut!(stream);
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
-    while let Some(chunk) = stream.next().await {
-        let mut chunk = chunk.map_err(|_| BodyError::Incomplete)?;
-        let size = chunk.remaining();
-        if size + first.len().max(rest.len()) > limit {
-            return Err(BodyError::TooLarge);
-        }
-        if first.is_empty() && rest.is_empty() {
-            first = chunk.copy_to_bytes(size);
-            continue;
-        }
-        rest.extend_from_slice(&std::mem::take(&mut first));
-        rest.extend_from_slice(&chunk.copy_to_bytes(size));
-    }
-    Ok(if rest.is_empty() { first } else { rest.freeze() })
-}
-
 /// Returns whether `Content-Length` is above the limit, so that the body can be rejected unread.
 fn exceeds_limit(headers: &reqwest::header::HeaderMap, limit: usize) -> bool {
     let declared = headers.get("content-length").and_then(|value| value.to_str().ok());
--- a/yuccahoist/src/api/service.rs
+++ b/yuccahoist/src/api/service.rs
@@ -9,8 +9,9 @@
 use warp::reply::Response;
 
 use super::reply::{self, FieldError};
-use super::{Api, BodyError, exceeds_limit, header, read_body};
+use super::{Api, exceeds_limit, header};
 use crate::actor::ReplySender;
+use crate::body::{self, BodyError};
 use crate::event::HostEvent;
 use crate::request::Request;
 
@@ -18,20 +19,24 @@
     service: String,
     api: Arc<Api>,
     headers: HeaderMap,
-    body: impl Stream<Item = Result<B, warp::Error>>,
+    stream: impl Stream<Item = Result<B, warp::Error>>,
 ) -> Response {
     // The deadline runs from the arrival of the headers, so the upload of the body counts against it.
     let received_at = api.clock.now();
     let Some(_permit) = api.acquire_permit() else { return reply::refused("too many calls are open") };
     let parsed = header::parse(&service, &headers);
     if exceeds_limit(&headers, api.body_limit) {
+        body::discard(stream).await;
         return too_large(&api, parsed.err().unwrap_or_default());
     }
     let headers = match parsed {
         Ok(headers) => headers,
-        Err(errors) => return reply::not_run(StatusCode::BAD_REQUEST, &errors),
+        Err(errors) => {
+            body::discard(stream).await;
+            return reply::not_run(StatusCode::BAD_REQUEST, &errors);
+        }
     };
-    let body = match read_body(body, api.body_limit).await {
+    let body = match body::read(stream, api.body_limit).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => return too_large(&api, Vec::new()),
         Err(BodyError::Incomplete) => {
--- a/yuccahoist/src/lib.rs
+++ b/yuccahoist/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod actor;
 pub mod api;
+pub mod body;
 pub mod clock;
 pub mod config;
 pub mod daemon;
--- a/yuccahoist/tests/api.rs
+++ b/yuccahoist/tests/api.rs
@@ -7,6 +7,8 @@
 use assert_matches::assert_matches;
 use reqwest::{Client, Method, Response};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use yuccahoist::daemon::{Daemon, RunningHost};
 use yuccahoist::event::{HostAction, HostEvent, HostStatus, JobCall, JobReply};
 use yuccahoist::id::Incarnation;
@@ -238,6 +240,57 @@
     }
 }
 
+/// Guards against a refusal that is lost: a connection closed with unread bytes is reset, and a caller that writes its whole
+/// body before it reads got a broken pipe instead of the status.
+#[tokio::test]
+async fn callers_that_write_first_read_the_refusal() {
+    struct Case {
+        path: &'static str,
+        has_length: bool,
+        status: u16,
+    }
+    let host = start_fake_host();
+    let cases = [
+        Case { path: "v1/services/echo", has_length: true, status: 413 },
+        // Refused for its missing headers, before the body is read.
+        Case { path: "v1/services/echo", has_length: false, status: 400 },
+        Case { path: "v1/jobs", has_length: true, status: 413 },
+        Case { path: "v1/jobs", has_length: false, status: 413 },
+    ];
+    const CHUNK: usize = 64 << 10;
+    for case in cases {
+        for _ in 0..10 {
+            let mut stream = TcpStream::connect(host.api()).await.expect("host listens");
+            let size = 64 * CHUNK;
+            let framing = if case.has_length {
+                format!("content-length: {size}")
+            } else {
+                "transfer-encoding: chunked".to_owned()
+            };
+            let head =
+                format!("POST /{} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{framing}\r\n\r\n", case.path);
+            stream.write_all(head.as_bytes()).await.expect("head is sent");
+            for _ in 0..size / CHUNK {
+                if !case.has_length {
+                    stream.write_all(format!("{CHUNK:x}\r\n").as_bytes()).await.expect("body is sent");
+                }
+                stream.write_all(&[b'x'; CHUNK]).await.expect("body is sent");
+                if !case.has_length {
+                    stream.write_all(b"\r\n").await.expect("body is sent");
+                }
+                tokio::task::yield_now().await;
+            }
+            if !case.has_length {
+                stream.write_all(b"0\r\n\r\n").await.expect("body is sent");
+            }
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.expect("answer is read");
+            let answer = String::from_utf8_lossy(&answer);
+            assert!(answer.starts_with(&format!("HTTP/1.1 {}", case.status)), "{}: {answer}", case.path);
+        }
+    }
+}
+
 /// Guards against responses to unknown paths and methods without the outcome `not-run`.
 #[tokio::test]
 async fn unknown_paths_and_methods_have_outcome_not_run() {
