Keep the owner running on submissions with extreme values

Cause: the sum of a chain's estimates and their product with the stretch of the queue overflowed. One submission with estimatedMs near 1e22 ended the owner's process, and as the caller turned to the next host, that of each successor. A task larger than any worker counted as backlog and had all other submissions refused. Change: estimates above 366 days are refused as invalid; objective, critical path, work and the end of usefulness saturate; the backlog counts the steps that fit on a listed worker. Test: table of extreme submissions, each followed by a takeover and a usual job that completes; failed before with a panic, then with the refusal.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -201,7 +201,7 @@
             let dependents =
                 (i + 1..steps.len()).filter(|j| steps[*j].after.iter().any(|a| *a as usize == i));
             let longest = dependents.map(|j| critical_paths[j]).max().unwrap_or_default();
-            critical_paths[i] = steps[i].estimate + longest;
+            critical_paths[i] = steps[i].estimate.saturating_add(longest);
         }
         critical_paths[number as usize]
     }
--- a/yuccahoist/src/shard/order.rs
+++ b/yuccahoist/src/shard/order.rs
@@ -61,7 +61,8 @@
         if now <= latest_start {
             return Rank { timeliness: Timeliness::InTime, key: latest_start.as_micros() };
         }
-        let useful_until = self.arrival + self.objective * USEFUL_OBJECTIVES - self.critical_path;
+        let useful_until =
+            self.arrival + self.objective.saturating_mul(USEFUL_OBJECTIVES) - self.critical_path;
         let timeliness = if now <= useful_until { Timeliness::Late } else { Timeliness::Overdue };
         Rank { timeliness, key: self.work }
     }
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -5,13 +5,13 @@
 
 use super::{Effect, Owner};
 use crate::shard::admission::{Load, MAX_UNSTORED_JOBS};
-use crate::shard::id::JobKey;
+use crate::shard::id::{JobKey, StepKey};
 use crate::shard::job::Job;
 use crate::shard::message::Action;
 use crate::shard::message::{Answer, CallId, Refusal, Request};
 use crate::shard::record::JobState;
 use crate::shard::spec::JobSpec;
-use crate::unit::Timestamp;
+use crate::unit::{Resources, Timestamp};
 
 /// Retry delay for refusals that end with a takeover or the recovery of the store; `Retry-After` counts whole seconds.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -97,14 +97,15 @@
 
     /// Returns the load ahead of a new job, for admission.
     fn load(&self, now: Timestamp, spec: &JobSpec) -> Load {
-        let cpu_capacity = self
-            .workers
-            .values()
-            .filter(|w| w.unlisted_since.is_none() || now < w.reregisters_until)
-            .map(|w| w.entry.capacity.cpu.0)
-            .sum();
-        let backlog_work =
-            self.ranks.keys().filter_map(|s| self.jobs.get(&s.job)).map(|j| j.spec.work()).sum();
+        let listed =
+            self.workers.values().filter(|w| w.unlisted_since.is_none() || now < w.reregisters_until);
+        let capacities: Vec<Resources> = listed.map(|w| w.entry.capacity).collect();
+        let cpu_capacity = capacities.iter().map(|c| c.cpu.0).sum();
+        let largest = capacities.into_iter().fold(Resources::ZERO, Resources::max);
+        // A step that fits on no worker delays no other.
+        let fits = |s: &StepKey, j: &Job| j.spec.steps[s.step as usize].reserved().fits(largest);
+        let waiting = self.ranks.keys().filter_map(|s| self.jobs.get(&s.job).filter(|j| fits(s, j)));
+        let backlog_work = waiting.map(|j| j.spec.work()).fold(0, u64::saturating_add);
         Load { backlog_work, cpu_capacity, request_backlog: self.request_backlog(now, spec) }
     }
 
--- a/yuccahoist/src/shard/spec.rs
+++ b/yuccahoist/src/shard/spec.rs
@@ -124,6 +124,8 @@
     pub repeat: Option<Repeat>,
 }
 
+/// Longest estimate of a task; longer ones are taken for mistakes.
+pub const MAX_ESTIMATE: Duration = Duration::from_secs(366 * 24 * 3_600);
 /// Most tasks of one job over all its occurrences; limits the memory that one submission can take up at the owner. A
 /// progress record of this many tasks still fits into the store's largest record.
 pub const MAX_JOB_TASKS: u64 = 20_000;
@@ -139,6 +141,12 @@
             if step.tasks == 0 {
                 return Some(format!("step {index} has no tasks"));
             }
+            if step.estimate > MAX_ESTIMATE {
+                return Some(format!(
+                    "step {index} has an estimate of more than {} s",
+                    MAX_ESTIMATE.as_secs()
+                ));
+            }
             if let Some(after) = step.after.iter().find(|a| usize::try_from(**a).is_ok_and(|a| a >= index)) {
                 return Some(format!("step {index} waits for step {after}, which is not an earlier step"));
             }
@@ -157,7 +165,7 @@
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let start = step.after.iter().filter_map(|a| ends.get(*a as usize)).max().copied();
-            ends.push(start.unwrap_or_default() + step.estimate);
+            ends.push(start.unwrap_or_default().saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or_default()
     }
@@ -165,12 +173,15 @@
     /// Returns the time from submission within which the job should be completed.
     #[must_use]
     pub fn objective(&self) -> Duration {
-        self.critical_path().mul_f64(self.queue.stretch_factor.max(0.0)) + self.queue.target_latency
+        let stretched = self.critical_path().as_secs_f64() * self.queue.stretch_factor.max(0.0);
+        Duration::try_from_secs_f64(stretched)
+            .unwrap_or(Duration::MAX)
+            .saturating_add(self.queue.target_latency)
     }
 
     /// Returns the CPU time of one occurrence, core-milliseconds.
     #[must_use]
     pub fn work(&self) -> u64 {
-        self.steps.iter().map(StepSpec::work).sum()
+        self.steps.iter().map(StepSpec::work).fold(0, u64::saturating_add)
     }
 }
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -7,7 +7,7 @@
 use yuccahoist::shard::message::{Answer, Refusal, Request};
 use yuccahoist::shard::record::JobState;
 use yuccahoist::shard::request_queue::{RequestHost, RequestQueue};
-use yuccahoist::shard::spec::{JobSpec, RecommendationCost, StepSpec};
+use yuccahoist::shard::spec::{JobSpec, MAX_ESTIMATE, RecommendationCost, Repeat, StepSpec};
 use yuccahoist::unit::Resources;
 
 use super::cluster::{SimulatedCluster, spec};
@@ -394,3 +394,81 @@
         assert_eq!(cluster.query_state(1), case.expected, "{}", case.name);
     }
 }
+
+/// A submission with an estimate near the largest duration ended the owner's process by an arithmetic overflow, and then that
+/// of each successor to which the caller turned.
+#[test]
+fn extreme_submissions_leave_the_owner_working() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut JobSpec),
+        is_valid: bool,
+    }
+    let cases = [
+        Case { name: "estimate", change: |j| j.steps[0].estimate = Duration::MAX, is_valid: false },
+        Case {
+            name: "estimate of a chain",
+            change: |j| {
+                j.steps[0].estimate = Duration::from_secs(u64::MAX / 2 + 1);
+                j.steps.push(StepSpec { after: vec![0], ..j.steps[0].clone() });
+            },
+            is_valid: false,
+        },
+        Case {
+            name: "stretched estimate",
+            change: |j| j.steps[0].estimate = Duration::from_secs(u64::MAX / 2),
+            is_valid: false,
+        },
+        Case { name: "longest estimate", change: |j| j.steps[0].estimate = MAX_ESTIMATE, is_valid: true },
+        Case {
+            name: "resources",
+            change: |j| {
+                j.steps[0].resources = Resources::new(u64::MAX, u64::MAX, u32::MAX);
+                j.steps.push(j.steps[0].clone());
+            },
+            is_valid: true,
+        },
+        Case {
+            name: "queue",
+            change: |j| {
+                j.queue.stretch_factor = f64::MAX;
+                j.queue.target_latency = Duration::MAX;
+            },
+            is_valid: true,
+        },
+        Case { name: "not a number", change: |j| j.queue.stretch_factor = f64::NAN, is_valid: true },
+        Case {
+            name: "times",
+            change: |j| j.repeat = Some(Repeat { count: 20_000, start: u64::MAX, interval: u64::MAX }),
+            is_valid: true,
+        },
+        Case {
+            name: "tail target",
+            change: |j| {
+                j.steps[0].tail_target = Some(Duration::MAX);
+                j.steps[0].long_running = true;
+            },
+            is_valid: true,
+        },
+    ];
+    for with_recommendation in [false, true] {
+        for case in &cases {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(100);
+            let mut job = spec(1, 100);
+            (case.change)(&mut job);
+            if with_recommendation {
+                job = SimulatedCluster::with_recommendation(job);
+            }
+            cluster.submit(1, job);
+            cluster.advance(100);
+            let is_invalid = matches!(cluster.answers.get(&1), Some(Answer::Invalid(_)));
+            assert_eq!(is_invalid, !case.is_valid, "{}: {:?}", case.name, cluster.answers.get(&1));
+            cluster.advance(3_000);
+            cluster.take_over(true);
+            cluster.submit(2, spec(1, 100));
+            cluster.advance(1_000);
+            assert_eq!(cluster.query_state(2), Some(JobState::Completed), "{}", case.name);
+        }
+    }
+}
