--- a/yuccahoist/src/shard/mod.rs
+++ b/yuccahoist/src/shard/mod.rs
@@ -20,6 +20,7 @@
 pub mod ports;
 pub mod record;
 pub mod request_queue;
+pub mod retry;
 pub mod spec;
 pub mod worker;
 
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -22,6 +22,7 @@
 use super::message::{Action, Event, OrderError};
 use super::order::{Rank, Urgency};
 use super::record::Ownership;
+use super::retry::RefusedCallers;
 use super::worker::Worker;
 use crate::unit::Timestamp;
 
@@ -137,6 +138,8 @@
     write_slow: bool,
     /// Time at which the store last recovered from an outage, or of the takeover.
     recovered_at: Timestamp,
+    /// Callers that were refused and may return.
+    refused: RefusedCallers,
     /// Whether a scheduling pass is due.
     pass_due: bool,
     /// Time of the next stop order, by run whose last one was not answered.
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -66,6 +66,7 @@
         let load = self.load(now, &spec);
         if let Some((cause, retry)) = self.refusal(&load) {
             self.counters.refused += 1;
+            self.refused.record(key, now);
             log::info!(
                 target: "decision",
                 "submit job={key} queue={} outcome=refused cause={cause:?} backlog_ms={} advice_ms={} unsent={} retry_s={}",
@@ -87,7 +88,9 @@
             spec.steps.len(),
             spec.objective().as_millis()
         );
-        self.jobs.insert(key, Job::new(spec, now, wall));
+        let arrival = self.refused.accept(key, now);
+        let waited = u64::try_from(now.since(arrival).as_millis()).unwrap_or(u64::MAX);
+        self.jobs.insert(key, Job::new(spec, arrival, wall.saturating_sub(waited)));
         self.begin_occurrences(now, wall, key);
         self.batch.jobs.insert(key);
         self.batch.progress.insert(key);
@@ -126,6 +129,7 @@
             let Some(job) = self.jobs.remove(key) else { continue };
             log::info!(target: "decision", "submit job={key} queue={} outcome=refused cause=StoreDown", job.spec.queue.name);
             self.batch.progress.remove(key);
+            self.refused.record(*key, job.arrival);
             self.counters.refused += 1;
             self.counters.accepted -= 1;
         }
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -43,6 +43,7 @@
             self.stop_stalled(now);
             self.begin_all_occurrences(now, wall);
             self.rerank_late(now);
+            self.refused.expire(now);
             self.pass_due |= !self.ready.is_empty();
         }
     }
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -8,6 +8,7 @@
 use crate::shard::lease::{MAX_UNCONFIRMED_AGE, MIN_CLOCK_RATE};
 use crate::shard::message::WorkerEntry;
 use crate::shard::record::{Progress, Record};
+use crate::shard::retry::RefusedCallers;
 use crate::shard::spec::{JobSpec, Queue};
 use crate::shard::worker::Worker;
 use crate::unit::{Resources, Timestamp};
@@ -69,6 +70,7 @@
             store_up: true,
             write_slow: false,
             recovered_at: now,
+            refused: RefusedCallers::default(),
             pass_due: true,
             stop_retries: BTreeMap::new(),
             last_check: now,
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -7,4 +7,5 @@
 mod faults;
 mod owner;
 mod records;
+mod retry;
 mod takeover;
