Place the late gang that has waited longest first

Change: of the late gangs the one with the earliest arrival is placed first in each pass; the others go by work as before. Test: a wide late gang among smaller late ones that keep arriving; failed before.

--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -9,6 +9,7 @@
 use super::{Effect, Owner};
 use crate::shard::id::{StepKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
+use crate::shard::order::Timeliness;
 use crate::shard::packing::{self, FreeCapacity};
 use crate::shard::spec::StepSpec;
 use crate::unit::{Resources, Timestamp};
@@ -21,6 +22,9 @@
 /// Number of gangs with reserved workers; more would leave most of the fleet idle while gangs wait.
 const MAX_RESERVING_GANGS: usize = 2;
 
+/// Number of late gangs that are placed by age; each takes room from smaller steps that need less of it.
+const MAX_GANGS_BY_AGE: usize = 1;
+
 /// Worker with its free resources in this pass.
 #[derive(Debug)]
 pub(super) struct Candidate {
@@ -65,7 +69,10 @@
             return;
         }
         let mut candidates = self.candidates(now);
-        let order: Vec<StepKey> = self.ready.iter().take(MAX_STEPS_PER_PASS).map(|(_, key)| *key).collect();
+        let mut order = self.longest_waiting_gangs();
+        let ranked = self.ready.iter().take(MAX_STEPS_PER_PASS).map(|(_, key)| *key);
+        let ranked: Vec<StepKey> = ranked.filter(|key| !order.contains(key)).collect();
+        order.extend(ranked);
         let mut reserved: BTreeSet<WorkerIncarnation> = BTreeSet::new();
         let mut gangs = 0;
         let mut misses = 0;
@@ -91,6 +98,21 @@
         }
     }
 
+    /// Returns the late gangs that are placed first in this pass, longest wait first. By rank the largest ones would wait
+    /// until the load falls.
+    fn longest_waiting_gangs(&self) -> Vec<StepKey> {
+        let arrival = |key: &StepKey| {
+            let job = self.jobs.get(&key.job)?;
+            let is_gang = job.spec.steps.get(key.step as usize)?.gang;
+            Some(*job.due.get(key.occurrence as usize)?).filter(|_| is_gang)
+        };
+        let late = self.ready.iter().filter(|(rank, _)| rank.timeliness != Timeliness::InTime);
+        let mut gangs: Vec<(Timestamp, StepKey)> =
+            late.filter_map(|(_, k)| Some((arrival(k)?, *k))).collect();
+        gangs.sort();
+        gangs.into_iter().map(|(_, key)| key).take(MAX_GANGS_BY_AGE).collect()
+    }
+
     fn candidates(&self, now: Timestamp) -> Candidates {
         let isolated = self.workers.values().filter(|w| w.health.is_isolated(now)).count();
         let ignore_isolation = isolated * 2 > self.workers.len();
--- a/yuccahoist/tests/shard/owner.rs
+++ b/yuccahoist/tests/shard/owner.rs
@@ -472,3 +472,32 @@
         }
     }
 }
+
+/// Smaller late gangs that keep arriving must not starve the largest one: among late steps the least work goes first, and of the
+/// largest tenth of gangs less than half were served.
+#[test]
+fn large_late_gang_is_not_starved_by_smaller_ones() {
+    let gang = |tasks: u32, millis: u64| {
+        let mut job = spec(tasks, millis);
+        job.steps[0].gang = true;
+        job.queue.stretch_factor = 1.0;
+        job.queue.target_latency = Duration::from_millis(1);
+        job
+    };
+    let mut cluster = SimulatedCluster::new(1, 4);
+    cluster.advance(100);
+    for number in 0..4 {
+        cluster.submit(100 + number, gang(4, 900));
+    }
+    cluster.advance(50);
+    cluster.submit(1, gang(14, 1_000));
+    for number in 0..60 {
+        cluster.advance(250);
+        cluster.submit(200 + number, gang(4, 900));
+    }
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed));
+    cluster.advance(12_000);
+    for number in 200..260 {
+        assert_eq!(cluster.query_state(number), Some(JobState::Completed), "small gang {number}");
+    }
+}
