--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -128,6 +128,8 @@
     /// Number of jobs by queue that have not begun.
     queued_jobs: BTreeMap<String, u64>,
     batch: Batch,
+    /// Jobs that have begun, whose progress goes with the next write; it is not worth one of its own.
+    begun: BTreeSet<JobKey>,
     /// Batch that is being written, and when it was sent.
     in_flight: Option<(Batch, Timestamp)>,
     last_flush: Timestamp,
@@ -266,7 +268,8 @@
                 return;
             }
         }
-        let batch = std::mem::take(&mut self.batch);
+        let mut batch = std::mem::take(&mut self.batch);
+        batch.progress.append(&mut self.begun);
         let entries = self.encode_batch(&batch);
         self.last_flush = now;
         self.in_flight = Some((batch, now));
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -64,6 +64,7 @@
             ranks: BTreeMap::new(),
             queued_jobs: BTreeMap::new(),
             batch: Batch::default(),
+            begun: BTreeSet::new(),
             in_flight: None,
             last_flush: Timestamp::ZERO,
             last_confirmed: now,
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -77,7 +77,7 @@
         job.state = JobState::Running;
         job.visible_state = JobState::Running;
         // A later owner must not show the job as queued again.
-        self.batch.progress.insert(key);
+        self.begun.insert(key);
         let queue = job.spec.queue.name.clone();
         self.adjust_queued_jobs(&queue, -1);
     }
