Log what was lost with a worker, and count crashed workers

The owner now keeps for each run when it was ordered and last listed, writes a line for each lost run, and counts the workers of which a later incarnation shows a crash. No decision changes.

--- a/yuccahoist/src/shard/mod.rs
+++ b/yuccahoist/src/shard/mod.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod job;
 pub mod lease;
+pub mod loss;
 pub mod message;
 pub mod order;
 pub mod owner;
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -7,6 +7,7 @@
 mod checks;
 mod effects;
 mod filler_pace;
+mod losses;
 mod preempt;
 mod recommendations;
 mod recover;
@@ -112,6 +113,8 @@
     pub failed: u64,
     /// Runs lost because their worker's lease expired or its incarnation ended.
     pub lost: u64,
+    /// Workers of which a later incarnation showed that they had crashed.
+    pub crashed_workers: u64,
     /// Recommendation requests.
     pub recommendation_requests: u64,
 }
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -6,7 +6,8 @@
 use crate::shard::id::{JobKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::Phase;
 use crate::shard::lease::MAX_UNCONFIRMED_AGE;
-use crate::shard::message::{Action, EndKind, WorkerEntry};
+use crate::shard::loss::WorkerFate;
+use crate::shard::message::{Action, WorkerEntry};
 use crate::shard::pacing::FULL_SPEED_PERCENT;
 use crate::shard::record::JobState;
 use crate::shard::worker::{LeaseExtension, Worker};
@@ -87,17 +88,15 @@
             self.workers.iter().filter(|(_, w)| is_expired(w)).map(|(i, _)| i.clone()).collect();
         for incarnation in incarnations {
             let Some(worker) = self.workers.get(&incarnation) else { continue };
-            let runs: Vec<_> = worker.runs.keys().copied().collect();
             if worker.unlisted_since.is_some() {
-                self.end_incarnation(now, &incarnation, "missing from the registry, lease expired");
+                let reason = "missing from the registry, lease expired";
+                self.end_incarnation(now, &incarnation, WorkerFate::Unknown, reason);
                 continue;
             }
-            if !runs.is_empty() {
-                log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", runs.len());
-            }
-            for (task, run) in runs {
-                self.on_end(now, &incarnation, task, run, EndKind::Lapsed, "");
+            if !worker.runs.is_empty() {
+                log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", worker.runs.len());
             }
+            self.lose_runs(now, &incarnation, WorkerFate::Unknown);
         }
     }
 
@@ -110,7 +109,7 @@
             .cloned()
             .collect();
         for previous in earlier {
-            self.end_incarnation(now, &previous, "a later incarnation registered");
+            self.replace_incarnation(now, &previous, "a later incarnation registered");
         }
         if self.workers.keys().any(|i| i.id == incarnation.id && i.started_at > incarnation.started_at) {
             return;
@@ -138,7 +137,7 @@
             let has_left = worker.entry.draining && !worker.is_responsive;
             log::info!(target: "decision", "worker worker={incarnation} outcome=unlisted draining={}", worker.entry.draining);
             if has_left && now >= reregisters_until {
-                self.end_incarnation(now, &incarnation, "deregistered after draining");
+                self.end_incarnation(now, &incarnation, WorkerFate::Left, "deregistered after draining");
             } else if worker.unlisted_since.is_none() {
                 worker.unlisted_since = Some(now);
                 worker.reregisters_until = reregisters_until;
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -91,6 +91,7 @@
             return;
         };
         placement.phase = Phase::Starting;
+        worker.order(now, task, run);
         self.counters.starts += 1;
         self.actions.push(Action::Start {
             incarnation,
--- a/yuccahoist/src/shard/owner/preempt.rs
+++ b/yuccahoist/src/shard/owner/preempt.rs
@@ -103,9 +103,9 @@
         let mut most_fitting = fitting_tasks(resources, free);
         let mut preempted = Vec::new();
         if let Some(worker) = self.workers.get(&candidate.incarnation) {
-            for ((task, run), size) in &worker.runs {
+            for ((task, run), reserved) in &worker.runs {
                 if self.is_preemptible(*task, *run, priority) {
-                    free += *size;
+                    free += reserved.resources;
                     let fitting = fitting_tasks(resources, free);
                     preempted.push(*task);
                     most_fitting = most_fitting.max(fitting);
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -152,7 +152,7 @@
                         let worker =
                             self.workers.entry(placement.incarnation.clone()).or_insert_with(placeholder);
                         worker.unlisted_since = Some(now);
-                        worker.reserve(task_key, placement.run, resources);
+                        worker.reserve(task_key, placement.run, resources, Some(now));
                         job.active_runs += 1;
                     }
                     if stored.done {
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -29,7 +29,7 @@
             return;
         }
         if error == OrderError::OtherIncarnation {
-            return self.end_incarnation(now, incarnation, "another incarnation answered");
+            return self.replace_incarnation(now, incarnation, "another incarnation answered");
         }
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         worker.lease_extension = LeaseExtension::Due(now + UNANSWERED_CALL_DELAY);
@@ -72,7 +72,7 @@
 
     pub(super) fn on_report(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, report: &Report) {
         if report.started_at.is_some_and(|started_at| started_at != incarnation.started_at) {
-            return self.end_incarnation(now, incarnation, "report names another incarnation");
+            return self.replace_incarnation(now, incarnation, "report names another incarnation");
         }
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         let sent = match worker.lease_extension {
@@ -106,6 +106,9 @@
         for active in &report.active {
             listed.insert((active.task, active.run));
             self.on_active_run(now, incarnation, active);
+            if let Some(worker) = self.workers.get_mut(incarnation) {
+                worker.list(now, active.task, active.run);
+            }
         }
         self.pace_fillers(now, incarnation, &report.active);
         if !truncated {
@@ -121,7 +124,7 @@
     fn on_active_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, active: &ActiveRun) {
         let (task, run) = (active.task, active.run);
         let Some(placement) = self.placement(task, run, incarnation) else {
-            return self.on_unplaced_run(incarnation, task, run);
+            return self.on_unplaced_run(now, incarnation, task, run);
         };
         if placement.percent != active.percent {
             placement.percent = active.percent;
@@ -159,14 +162,14 @@
 
     /// Handles a run that the records do not place on this worker. It counts against the capacity until it is gone, and is
     /// stopped unless runs of its task may overlap and the task is not done.
-    fn on_unplaced_run(&mut self, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
+    fn on_unplaced_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
         let job = self.jobs.get(&task.step.job);
         let step_spec = job.and_then(|j| j.spec.steps.get(task.step.step as usize));
         let (resources, speculative) =
             step_spec.map_or((Resources::ZERO, false), |s| (s.reserved(), s.speculative));
         let done = job.is_none_or(|j| j.state.is_final()) || self.is_done(task);
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.reserve(task, run, resources);
+            worker.reserve(task, run, resources, Some(now));
         }
         if !speculative || done {
             log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not placed on this worker\"");
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -3,6 +3,7 @@
 use super::{Effect, Owner};
 use crate::shard::id::{JobKey, StepKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
+use crate::shard::loss::WorkerFate;
 use crate::shard::message::{Action, EndKind, OrderError};
 use crate::shard::record::JobState;
 use crate::unit::Timestamp;
@@ -57,7 +58,7 @@
                 }
                 match error {
                     OrderError::OtherIncarnation => {
-                        return self.end_incarnation(now, incarnation, "another incarnation answered");
+                        return self.replace_incarnation(now, incarnation, "another incarnation answered");
                     }
                     OrderError::Ticket => self.expire_ticket(task.step, incarnation),
                     _ => {
@@ -163,7 +164,7 @@
     ) {
         match result {
             Err(OrderError::OtherIncarnation) => {
-                return self.end_incarnation(now, incarnation, "another incarnation answered");
+                return self.replace_incarnation(now, incarnation, "another incarnation answered");
             }
             Err(error @ OrderError::Fenced) => {
                 self.step_down_if_fenced(error);
@@ -335,14 +336,32 @@
         }
     }
 
+    /// Removes a worker incarnation that was replaced by another; unless it was draining, it has crashed.
+    pub(super) fn replace_incarnation(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        reason: &str,
+    ) {
+        let draining = self.workers.get(incarnation).is_some_and(|w| w.entry.draining);
+        let fate = if draining { WorkerFate::Left } else { WorkerFate::Crashed };
+        self.end_incarnation(now, incarnation, fate, reason);
+    }
+
     /// Removes a worker incarnation that has ended; its runs are lost.
-    pub(super) fn end_incarnation(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, reason: &str) {
-        let Some(worker) = self.workers.get_mut(incarnation) else { return };
-        let runs: Vec<_> = worker.runs.keys().copied().collect();
-        log::info!(target: "decision", "worker worker={incarnation} outcome=over runs={} reason={reason:?}", runs.len());
-        for (task, run) in runs {
-            self.on_end(now, incarnation, task, run, EndKind::Lapsed, "");
+    pub(super) fn end_incarnation(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        fate: WorkerFate,
+        reason: &str,
+    ) {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        log::info!(target: "decision", "worker worker={incarnation} outcome=over runs={} fate={fate} reason={reason:?}", worker.runs.len());
+        if fate == WorkerFate::Crashed {
+            self.counters.crashed_workers += 1;
         }
+        self.lose_runs(now, incarnation, fate);
         self.workers.remove(incarnation);
     }
 }
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -308,7 +308,7 @@
         });
         job.active_runs += 1;
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.reserve(task_key, run, resources);
+            worker.reserve(task_key, run, resources, None);
         }
         self.batch.progress.insert(key.job);
         self.batch.effects.push(Effect::Start(task_key, run));
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -1,6 +1,8 @@
 //! State of a worker incarnation at the owner of the shard.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::time::Duration;
 
 use super::health::Health;
 use super::id::{StepKey, TaskKey};
@@ -9,6 +11,26 @@
 use super::pacing::Pace;
 use crate::unit::{Resources, Timestamp};
 
+/// Run that may be active on a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct ReservedRun {
+    /// Resources that count against the capacity of the worker.
+    pub resources: Resources,
+    /// When the worker may first have started the run; `None` before the start order is sent.
+    pub ordered_at: Option<Timestamp>,
+    /// When a report last listed the run.
+    pub listed_at: Option<Timestamp>,
+}
+
+impl ReservedRun {
+    /// Returns how long the run was certainly active: from its start order to the last report that listed it.
+    #[must_use]
+    pub fn proven_age(&self) -> Duration {
+        let proven = self.ordered_at.zip(self.listed_at).map(|(from, to)| to.since(from));
+        proven.unwrap_or_default()
+    }
+}
+
 /// State of the call that extends the lease and fetches a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseExtension {
@@ -41,8 +63,8 @@
     pub last_end: u64,
     /// State of the call that extends the lease.
     pub lease_extension: LeaseExtension,
-    /// Resources of the runs that may be active on the worker, by task and run number.
-    pub runs: BTreeMap<(TaskKey, u32), Resources>,
+    /// Runs that may be active on the worker, by task and run number.
+    pub runs: BTreeMap<(TaskKey, u32), ReservedRun>,
     /// Sum of the resources in `runs`.
     pub used: Resources,
     /// Recent failures and isolation.
@@ -76,10 +98,25 @@
         }
     }
 
-    /// Reserves the resources of a run; has no effect when they are reserved already.
-    pub fn reserve(&mut self, task: TaskKey, run: u32, resources: Resources) {
-        if self.runs.insert((task, run), resources).is_none() {
-            self.used += resources;
+    /// Reserves the resources of a run; has no effect when they are reserved already. `ordered_at` is the time from which
+    /// the run may be active.
+    pub fn reserve(&mut self, task: TaskKey, run: u32, resources: Resources, ordered_at: Option<Timestamp>) {
+        let Entry::Vacant(entry) = self.runs.entry((task, run)) else { return };
+        entry.insert(ReservedRun { resources, ordered_at, listed_at: None });
+        self.used += resources;
+    }
+
+    /// Records that a report received at `now` lists a run.
+    pub fn list(&mut self, now: Timestamp, task: TaskKey, run: u32) {
+        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
+            reserved.listed_at = Some(now);
+        }
+    }
+
+    /// Records that the start order of a run is sent.
+    pub fn order(&mut self, now: Timestamp, task: TaskKey, run: u32) {
+        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
+            reserved.ordered_at.get_or_insert(now);
         }
     }
 
@@ -88,7 +125,7 @@
         self.ordered_paces.remove(&(task, run));
         if self.runs.remove(&(task, run)).is_some() {
             // Summed anew: subtraction saturates, so `used` could end up too high.
-            self.used = self.runs.values().fold(Resources::ZERO, |sum, resources| sum + *resources);
+            self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum + run.resources);
         }
     }
 
@@ -116,4 +153,4 @@
 }
 
 /// Least remaining lease for a new run: one write to a slow store and one call to the worker must fit into it.
-const MIN_START_LEASE: std::time::Duration = std::time::Duration::from_millis(500);
+const MIN_START_LEASE: Duration = Duration::from_millis(500);
