--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -27,6 +27,8 @@
 const ORDER_TIMEOUT_MS: u64 = 600;
 /// Time that a worker takes to stop a run.
 const STOP_DURATION_MS: u64 = 300;
+/// Starts of a task after its third crash that break its budget.
+const MAX_STARTS_AFTER_CRASHES: u32 = 3;
 /// Capacity of each worker.
 pub const WORKER_CAPACITY: Resources = Resources::new(16_000, 64_000, 0);
 
@@ -62,6 +64,17 @@
     pub failed_run: f64,
 }
 
+/// Tasks that crash their workers.
+#[derive(Debug, Clone)]
+pub struct DeadlyTasks {
+    /// Deadly tasks; a job of occurrences has them in each.
+    pub tasks: BTreeSet<(JobKey, u32)>,
+    /// Time from the start of the run to the crash, milliseconds.
+    pub crash_after: u64,
+    /// Time after which a crashed worker is back, milliseconds.
+    pub down: u64,
+}
+
 #[derive(Debug, Clone)]
 struct Run {
     ends_at: Timestamp,
@@ -101,6 +114,9 @@
     unreachable_until: Timestamp,
     /// Whether an unreachable worker still receives calls and only its answers are lost.
     receives_calls: bool,
+    /// When the worker crashes, and whether it has crashed already and waits for its restart.
+    crash_at: Option<Timestamp>,
+    is_down: bool,
 }
 
 impl Worker {
@@ -129,6 +145,8 @@
             pending_report: None,
             unreachable_until: Timestamp::ZERO,
             receives_calls: false,
+            crash_at: None,
+            is_down: false,
         }
     }
 
@@ -178,6 +196,9 @@
     pub now: Timestamp,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
+    pub deadly: Option<DeadlyTasks>,
+    /// Crashes of workers by the deadly task that caused them, and its starts after the third one.
+    pub crashes: BTreeMap<TaskKey, (u32, u32)>,
     /// Last answer by call number.
     pub answers: BTreeMap<u64, Answer>,
     /// Last state of each job that was reported to callers.
@@ -216,6 +237,8 @@
             now: Timestamp::from_millis(100_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
+            deadly: None,
+            crashes: BTreeMap::new(),
             answers: BTreeMap::new(),
             visible_states: BTreeMap::new(),
             starts: BTreeMap::new(),
@@ -285,12 +308,76 @@
     /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs.
     pub fn restart_worker(&mut self, number: usize) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
-        self.workers.remove(&incarnation);
-        let worker = Worker::new(u32::try_from(number).expect("few workers"), incarnation.started_at + 1);
+        let previous = self.workers.remove(&incarnation);
+        let mut worker = Worker::new(u32::try_from(number).expect("few workers"), incarnation.started_at + 1);
+        worker.entry.capacity = previous.map_or(WORKER_CAPACITY, |w| w.entry.capacity);
         self.workers.insert(worker.entry.incarnation.clone(), worker);
         self.register(number);
     }
 
+    /// Changes the capacity that a worker has and reports.
+    pub fn resize_worker(&mut self, number: usize, capacity: Resources) {
+        if let Some(worker) = self.workers.values_mut().nth(number) {
+            worker.entry.capacity = capacity;
+        }
+        self.register(number);
+    }
+
+    /// Crashes a worker, which is back after `down` milliseconds.
+    pub fn crash_worker(&mut self, number: usize, down: u64) {
+        let now = self.now;
+        if let Some(worker) = self.workers.values_mut().nth(number).filter(|w| !w.is_down) {
+            worker.runs.clear();
+            worker.crash_at = None;
+            worker.is_down = true;
+            worker.receives_calls = false;
+            worker.unreachable_until = now + Duration::from_millis(down);
+            if let Some((_, until, _)) = &mut worker.pending_report {
+                *until = now;
+            }
+        }
+    }
+
+    /// Crashes the workers on which a deadly task has been active for long enough, and restarts those that were down.
+    fn advance_crashes(&mut self) {
+        let now = self.now;
+        let workers: Vec<(bool, bool)> = self
+            .workers
+            .values()
+            .map(|w| (w.crash_at.is_some_and(|at| at <= now), w.is_down && w.unreachable_until <= now))
+            .collect();
+        let down = self.deadly.as_ref().map_or(0, |d| d.down);
+        for (number, (crashes, is_back)) in workers.into_iter().enumerate() {
+            if crashes {
+                self.crash_worker(number, down);
+            }
+            if is_back {
+                self.restart_worker(number);
+            }
+        }
+    }
+
+    /// Counts a start of a deadly task, schedules the crash of its worker, and checks the budget of the task.
+    fn start_deadly(&mut self, incarnation: &WorkerIncarnation, task: TaskKey) {
+        let Some(deadly) = &self.deadly else { return };
+        if !deadly.tasks.contains(&(task.step.job, task.index)) {
+            return;
+        }
+        let crash_at = self.now + Duration::from_millis(deadly.crash_after);
+        if let Some(worker) = self.workers.get_mut(incarnation) {
+            worker.crash_at.get_or_insert(crash_at);
+        }
+        let (crashes, later_starts) = self.crashes.entry(task).or_default();
+        if *crashes >= 3 {
+            *later_starts += 1;
+        }
+        *crashes += 1;
+        assert!(
+            *later_starts < MAX_STARTS_AFTER_CRASHES,
+            "{task} starts once more after {crashes} workers have crashed under it"
+        );
+    }
+
     pub fn submit(&mut self, number: u64, spec: JobSpec) {
         let spec = Arc::new(spec);
         self.specs.insert(JobKey(number), spec.clone());
@@ -455,6 +542,7 @@
     /// Ends runs that are over or whose lease has expired, and sends the reports that are due.
     fn advance_workers(&mut self) {
         let (now, epoch) = (self.now, self.epoch);
+        self.advance_crashes();
         self.advance_gangs();
         let mut reports = Vec::new();
         for (incarnation, worker) in &mut self.workers {
@@ -576,6 +664,8 @@
                 }
                 let unreachable = worker.unreachable_until > self.now;
                 if let Some(event) = self.execute(epoch, action.clone()) {
+                    let crash_at = self.workers.get(&incarnation).and_then(|w| w.crash_at);
+                    let unreachable = unreachable || crash_at.is_some_and(|at| at <= self.now);
                     let event = if unreachable { unanswered(&action) } else { event };
                     let delay = if unreachable { ORDER_TIMEOUT_MS } else { CALL_ROUND_TRIP_MS / 2 };
                     self.deliver_after(delay, Delivery::Event(epoch, event));
@@ -679,7 +769,7 @@
         let worker = self.workers.get_mut(incarnation).expect("known worker");
         let used =
             worker.runs.values().fold(Resources::ZERO, |sum, r| sum + r.resources) + step_spec.reserved();
-        assert!(used.fits(WORKER_CAPACITY), "{task} overloads {incarnation}: {used}");
+        assert!(used.fits(worker.entry.capacity), "{task} overloads {incarnation}: {used}");
         let present = worker.runs.keys().filter(|(t, _)| t.step == task.step).count();
         assert!(
             step_spec.max_per_worker.is_none_or(|limit| present < limit as usize),
@@ -697,6 +787,7 @@
             tail_target: step_spec.tail_target.and_then(|t| u64::try_from(t.as_millis()).ok()),
         };
         worker.runs.insert((task, run), state);
+        self.start_deadly(incarnation, task);
     }
 
     /// Queries the state of a job, and checks that a final state never changes.
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -2,7 +2,9 @@
 
 mod appender;
 mod campaign;
+mod capacity;
 mod cluster;
+mod deadly;
 mod decisions;
 mod faults;
 mod owner;
