Check a worker's capacity again before a stored placement starts

A placement is decided on the capacity of that moment and starts once it is stored, which an outage can delay by seconds. The start now drops the placement if the worker's runs need more than its present capacity, and the task is placed again.

--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -66,7 +66,7 @@
     }
 
     /// Sends the start order of a run whose placement is stored; drops the run if its worker, ticket or job no longer
-    /// allows it.
+    /// allows it, or if the worker has become too small.
     fn start_run(&mut self, now: Timestamp, task: TaskKey, run: u32) {
         let key = task.step;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
@@ -83,7 +83,9 @@
             job.spec.queue.recommendation.is_some() && ticket.is_none_or(|(_, until)| *until <= now);
         let ticket = ticket.map(|(ticket, _)| ticket.clone());
         let worker = self.workers.get_mut(&incarnation);
-        let deadline = worker.filter(|w| w.is_usable(now)).and_then(|w| w.lease.deadline().map(|d| (w, d)));
+        let deadline = worker
+            .filter(|w| w.is_usable(now) && !w.is_overloaded())
+            .and_then(|w| w.lease.deadline().map(|d| (w, d)));
         let (Some((worker, deadline)), false, false) = (deadline, ticket_missing, job.state.is_final())
         else {
             log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome=dropped ticket={}", !ticket_missing);
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -141,6 +141,12 @@
         self.entry.capacity.saturating_sub(self.used)
     }
 
+    /// Whether the runs need more than the worker's present capacity.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        !self.used.fits(self.entry.capacity)
+    }
+
     /// Whether new tasks may be placed on the worker; isolation is checked apart.
     #[must_use]
     pub fn is_usable(&self, now: Timestamp) -> bool {
