Count a run of unknown size as the whole worker

A run that a worker reports and the records do not place counted nothing when its job's specification was already deleted: a copy left on a silent worker, whose job was cancelled or done before a takeover. Such a run now takes up the worker's whole capacity until it is gone.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -8,7 +8,7 @@
 use crate::shard::job::{Phase, Placement};
 use crate::shard::message::{ActiveRun, OrderError, Report};
 use crate::shard::worker::LeaseExtension;
-use crate::unit::{Resources, Timestamp};
+use crate::unit::Timestamp;
 
 /// Number of ended runs from which a report may be truncated; defined by the platform.
 const MAX_REPORTED_ENDS: usize = 500;
@@ -165,12 +165,14 @@
     fn on_unplaced_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
         let job = self.jobs.get(&task.step.job);
         let step_spec = job.and_then(|j| j.spec.steps.get(task.step.step as usize));
-        let (resources, speculative) =
-            step_spec.map_or((Resources::ZERO, false), |s| (s.reserved(), s.speculative));
+        let known = step_spec.map(|s| (s.reserved(), s.speculative));
         let done = job.is_none_or(|j| j.state.is_final()) || self.is_done(task);
         if let Some(worker) = self.workers.get_mut(incarnation) {
+            // The resources of a run are unknown once its job's specification is deleted; it may take up the whole worker.
+            let resources = known.map_or(worker.entry.capacity, |(resources, _)| resources);
             worker.reserve(task, run, resources, Some(now));
         }
+        let speculative = known.is_some_and(|(_, speculative)| speculative);
         if !speculative || done {
             log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not placed on this worker\"");
             self.send_stop(task, run, incarnation);
