Give up tasks that crash their workers

The owner ended all runs of a lost worker as lapsed, which says nothing about the task, and placed them again.

A lost worker is now held against the tasks that had runs on it, with the age of the run, in the job's progress record, so that it outlives takeovers; older versions ignore the new bytes behind the record. A worker of which a later incarnation shows up has crashed, also if its lease ran out before; one that answers again was only unreachable, and one that drained has left: neither counts. A task is given up after two crashes at the start of its runs, or three to four later ones. Until then it is under suspicion: its next run goes to the worker with the fewest runs, nothing is placed beside it until it has outlived its earlier runs, one task of a job and an eighth of the workers at a time.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::id::WorkerIncarnation;
-use super::record::{JobState, Progress, TaskProgress};
+use super::loss::Losses;
+use super::record::{JobState, Progress, TaskLoss, TaskProgress};
 use super::spec::{JobSpec, StepSpec};
 use crate::unit::Timestamp;
 
@@ -48,6 +49,8 @@
     pub run: u32,
     /// Numbers of the failed runs; for a gang, those of all members.
     pub failures: BTreeSet<u32>,
+    /// Workers lost under runs of the task.
+    pub losses: Losses,
     /// Whether a run has completed the task.
     pub done: bool,
     /// Last checkpoint; empty when there is none.
@@ -232,6 +235,27 @@
         };
         let steps = |o: &Vec<Step>| o.iter().map(|s| s.tasks.iter().map(&mut encode).collect()).collect();
         progress.occurrences = self.occurrences.iter().map(steps).collect::<Vec<Vec<_>>>();
+        progress.losses = self.task_losses();
         progress
     }
+
+    /// Returns the workers lost under the runs of all tasks, as they are stored.
+    fn task_losses(&self) -> Vec<TaskLoss> {
+        let mut stored = Vec::new();
+        for (occurrence, steps) in (0u32..).zip(&self.occurrences) {
+            for (step, state) in (0u32..).zip(steps) {
+                for (index, task) in (0u32..).zip(&state.tasks).filter(|(_, t)| !t.done) {
+                    let losses = task.losses.iter();
+                    stored.extend(losses.map(|(run, loss)| TaskLoss {
+                        occurrence,
+                        step,
+                        index,
+                        run,
+                        loss: loss.clone(),
+                    }));
+                }
+            }
+        }
+        stored
+    }
 }
--- a/yuccahoist/src/shard/loss.rs
+++ b/yuccahoist/src/shard/loss.rs
@@ -1,6 +1,29 @@
-//! Losses of workers under their runs.
+//! Losses of workers under the runs of a task, and what they say about the task.
+//!
+//! A task can crash each worker that starts it. All runs of a crashed worker are under suspicion, since the worker can't
+//! say which one crashed it. A task loses its workers again and again right after its start, or alone on a worker, only
+//! if it is the cause: such a task is given up. Until then it is started where it harms least, see [`Losses::probation`].
 
+use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::id::WorkerIncarnation;
+
+/// Age below which a run counts as lost at its start. A worker reports its runs at least once a second.
+pub const START_AGE: Duration = Duration::from_millis(500);
+/// Crashes at the start of a run after which a task is given up; the platform allows it after two.
+const MAX_START_CRASHES: usize = 2;
+/// Crashes after which a task is given up if no other job had a run on one of the workers.
+const MAX_CRASHES_ALONE: usize = 3;
+/// Crashes after which a task is given up in any case; the platform allows two starts after the third crash.
+const MAX_CRASHES: usize = 4;
+/// Lost workers, crashed or not, after which a task is given up; one start before the platform's limit.
+const MAX_LOSSES: usize = 5;
+/// Age from which a run of a long-running task clears the task: its worker was lost for another reason.
+const CLEARING_AGE: Duration = Duration::from_secs(30);
 
 /// What became of a lost worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -9,7 +32,7 @@
     Crashed,
     /// The worker left after draining.
     Left,
-    /// The lease expired without an answer: the worker crashed, or is only unreachable.
+    /// The worker does not answer: it crashed, or is only unreachable.
     Unknown,
 }
 
@@ -22,3 +45,83 @@
         })
     }
 }
+
+/// Loss of a worker under a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// Worker that was lost.
+    pub incarnation: WorkerIncarnation,
+    /// How long the run was seen active.
+    pub age: Duration,
+    /// Whether no other job had a run on the worker.
+    pub is_alone: bool,
+    /// Whether the worker is known to have crashed; until then it may be unreachable.
+    pub is_crash: bool,
+}
+
+/// Lost workers of a task, by run number.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Losses(BTreeMap<u32, Loss>);
+
+impl Losses {
+    /// Records the loss of a worker under run `run`. A run of a long-running task that had been active for long clears the
+    /// task instead.
+    pub fn record(&mut self, run: u32, loss: Loss, long_running: bool) {
+        if long_running && loss.age >= CLEARING_AGE {
+            self.0.clear();
+            return;
+        }
+        let recorded = self.0.entry(run).or_insert_with(|| loss.clone());
+        recorded.is_crash |= loss.is_crash;
+    }
+
+    /// Records that the worker of a lost run has crashed.
+    pub fn confirm(&mut self, run: u32) {
+        if let Some(loss) = self.0.get_mut(&run) {
+            loss.is_crash = true;
+        }
+    }
+
+    /// Removes the loss of a worker that answers again.
+    pub fn withdraw(&mut self, run: u32) {
+        self.0.remove(&run);
+    }
+
+    /// Returns the losses by run number.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Loss)> {
+        self.0.iter().map(|(run, loss)| (*run, loss))
+    }
+
+    /// Whether no worker was lost.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Whether a lost worker may still be unreachable only.
+    #[must_use]
+    pub fn has_unresolved(&self) -> bool {
+        self.0.values().any(|loss| !loss.is_crash)
+    }
+
+    /// Whether the task is to be given up, because it crashes its workers.
+    #[must_use]
+    pub fn is_conclusive(&self) -> bool {
+        let crashes = || self.0.values().filter(|loss| loss.is_crash);
+        let at_start = crashes().filter(|loss| loss.age < START_AGE).count();
+        let alone = crashes().any(|loss| loss.is_alone);
+        at_start >= MAX_START_CRASHES
+            || (crashes().count() >= MAX_CRASHES_ALONE && alone)
+            || crashes().count() >= MAX_CRASHES
+            || self.0.len() >= MAX_LOSSES
+    }
+
+    /// Returns how long the next run of the task has to be active until other runs may start beside it; `None` for a task
+    /// that is not under suspicion.
+    #[must_use]
+    pub fn probation(&self) -> Option<Duration> {
+        let longest = self.0.values().map(|loss| loss.age).max()?;
+        let suspect = self.0.len() > 1 || longest < START_AGE;
+        suspect.then(|| longest + START_AGE)
+    }
+}
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -115,6 +115,8 @@
     pub lost: u64,
     /// Workers of which a later incarnation showed that they had crashed.
     pub crashed_workers: u64,
+    /// Tasks given up because they crash their workers.
+    pub given_up: u64,
     /// Recommendation requests.
     pub recommendation_requests: u64,
 }
@@ -149,6 +151,8 @@
     pass_due: bool,
     /// Time of the next stop order, by run whose last one was not answered.
     stop_retries: BTreeMap<(TaskKey, u32), Timestamp>,
+    /// Runs whose worker was lost and may be unreachable only.
+    unresolved: BTreeMap<WorkerIncarnation, BTreeSet<(TaskKey, u32)>>,
     last_check: Timestamp,
     /// Recommendation requests that are in flight or wait for a host.
     pending_requests: BTreeMap<StepKey, PendingRequest>,
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -20,6 +20,8 @@
 /// Time that a worker may delay its answer to a lease extension until a run ends; leases are extended four times before
 /// they expire.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(1_000);
+/// The same while a run is on probation, whose worker takes no other runs until reports show that it survives.
+const PROBATION_REPORT_WAIT: Duration = Duration::from_millis(250);
 /// Minimum time without progress after which a task counts as stalled: a task of 12 s on a worker that is 6 times as slow
 /// advances by one percent in 0.8 s.
 const MIN_STALL_AGE: Duration = Duration::from_millis(2_500);
@@ -45,6 +47,7 @@
             self.begin_all_occurrences(now, wall);
             self.rerank_late(now);
             self.refused.expire(now);
+            self.forget_losses();
             self.pass_due |= !self.ready.is_empty();
         }
     }
@@ -63,10 +66,11 @@
             } else {
                 None
             };
-            let wait = if worker.is_responsive && worker.has_reported && deadline.is_some() {
-                MAX_REPORT_WAIT
-            } else {
-                Duration::ZERO
+            let wait = match deadline {
+                Some(_) if !worker.is_responsive || !worker.has_reported => Duration::ZERO,
+                Some(_) if worker.has_probation() => PROBATION_REPORT_WAIT,
+                Some(_) => MAX_REPORT_WAIT,
+                None => Duration::ZERO,
             };
             worker.lease_extension = LeaseExtension::InFlight(now);
             self.actions.push(Action::ExtendLease {
@@ -96,7 +100,8 @@
             if !worker.runs.is_empty() {
                 log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", worker.runs.len());
             }
-            self.lose_runs(now, &incarnation, WorkerFate::Unknown);
+            let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
+            self.lose_runs(now, &incarnation, fate);
         }
     }
 
@@ -111,6 +116,7 @@
         for previous in earlier {
             self.replace_incarnation(now, &previous, "a later incarnation registered");
         }
+        self.confirm_crashes_before(now, &incarnation);
         if self.workers.keys().any(|i| i.id == incarnation.id && i.started_at > incarnation.started_at) {
             return;
         }
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -1,9 +1,13 @@
-//! Runs that are lost with their worker.
+//! Runs that are lost with their worker, and tasks that are given up because they crash their workers.
+
+use std::collections::BTreeSet;
 
 use super::Owner;
-use crate::shard::id::WorkerIncarnation;
-use crate::shard::loss::WorkerFate;
+use crate::shard::id::{JobKey, TaskKey, WorkerIncarnation};
+use crate::shard::job::Task;
+use crate::shard::loss::{Loss, WorkerFate};
 use crate::shard::message::EndKind;
+use crate::shard::record::{JobState, TaskLoss};
 use crate::unit::Timestamp;
 
 impl Owner {
@@ -19,7 +23,124 @@
                 "lost task={task} run={run} worker={incarnation} fate={fate} ordered={} age_ms={age} beside={beside}",
                 reserved.ordered_at.is_some(),
             );
+            self.record_loss(task, run, incarnation, fate);
             self.on_end(now, incarnation, task, run, EndKind::Lapsed, "");
+            self.give_up_if_conclusive(now, task);
+        }
+        match fate {
+            WorkerFate::Crashed => self.confirm_crash(now, incarnation),
+            WorkerFate::Left => self.withdraw_losses(incarnation),
+            WorkerFate::Unknown => {}
+        }
+    }
+
+    /// Records that a worker was lost under a run, unless the run certainly never started.
+    pub(super) fn record_loss(
+        &mut self,
+        task: TaskKey,
+        run: u32,
+        incarnation: &WorkerIncarnation,
+        fate: WorkerFate,
+    ) {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        let Some(reserved) = worker.runs.get(&(task, run)).filter(|r| r.ordered_at.is_some()) else { return };
+        let loss = Loss {
+            incarnation: incarnation.clone(),
+            age: reserved.proven_age(),
+            is_alone: worker.runs.keys().all(|(other, _)| other.step.job == task.step.job),
+            is_crash: fate == WorkerFate::Crashed,
+        };
+        if fate == WorkerFate::Left {
+            return;
+        }
+        let Some(job) = self.jobs.get(&task.step.job).filter(|j| !j.state.is_final()) else { return };
+        let long_running = job.spec.steps.get(task.step.step as usize).is_some_and(|s| s.long_running);
+        let Some(state) = self.task_mut(task).filter(|t| !t.done) else { return };
+        state.losses.record(run, loss, long_running);
+        self.batch.progress.insert(task.step.job);
+        if fate == WorkerFate::Unknown {
+            self.unresolved.entry(incarnation.clone()).or_default().insert((task, run));
+        }
+    }
+
+    fn task_mut(&mut self, task: TaskKey) -> Option<&mut Task> {
+        let key = task.step;
+        let steps = self.jobs.get_mut(&key.job)?.occurrences.get_mut(key.occurrence as usize)?;
+        steps.get_mut(key.step as usize)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Handles the proof that a lost worker has crashed.
+    fn confirm_crash(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
+        for (task, run) in self.unresolved.remove(incarnation).unwrap_or_default() {
+            let Some(state) = self.task_mut(task) else { continue };
+            state.losses.confirm(run);
+            self.batch.progress.insert(task.step.job);
+            self.give_up_if_conclusive(now, task);
+        }
+    }
+
+    /// Handles the registration of a worker: lost incarnations before it have crashed.
+    pub(super) fn confirm_crashes_before(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
+        let first = WorkerIncarnation { id: incarnation.id.clone(), started_at: 0 };
+        let crashed: Vec<_> =
+            self.unresolved.range(first..incarnation.clone()).map(|(i, _)| i.clone()).collect();
+        for previous in crashed {
+            self.confirm_crash(now, &previous);
+        }
+    }
+
+    /// Withdraws the losses of a worker that was only unreachable, or has left.
+    pub(super) fn withdraw_losses(&mut self, incarnation: &WorkerIncarnation) {
+        for (task, run) in self.unresolved.remove(incarnation).unwrap_or_default() {
+            let Some(state) = self.task_mut(task) else { continue };
+            state.losses.withdraw(run);
+            self.batch.progress.insert(task.step.job);
+            self.pass_due = true;
+        }
+    }
+
+    /// Drops the losses of jobs that have ended.
+    pub(super) fn forget_losses(&mut self) {
+        let jobs = &self.jobs;
+        let is_open = |key: &JobKey| jobs.get(key).is_some_and(|j| !j.state.is_final());
+        self.unresolved.retain(|_, runs| {
+            runs.retain(|(task, _)| is_open(&task.step.job));
+            !runs.is_empty()
+        });
+    }
+
+    /// Fails the job of a task that crashes its workers.
+    fn give_up_if_conclusive(&mut self, now: Timestamp, task: TaskKey) {
+        let Some(state) = self.task_mut(task).filter(|t| t.losses.is_conclusive() && !t.done) else { return };
+        let losses: Vec<_> = state.losses.iter().collect();
+        let crashes = losses.iter().filter(|(_, loss)| loss.is_crash).count();
+        let (count, run) = (losses.len(), state.run);
+        if self.jobs.get(&task.step.job).is_none_or(|j| j.state.is_final()) {
+            return;
+        }
+        log::warn!(target: "decision", "give-up task={task} run={run} crashes={crashes} losses={count}");
+        self.counters.given_up += 1;
+        self.finish_job(now, task.step.job, JobState::Failed);
+    }
+
+    /// Restores the losses of a job's tasks.
+    pub(super) fn restore_losses(&mut self, now: Timestamp, job: JobKey, losses: &[TaskLoss]) {
+        let mut tasks = BTreeSet::new();
+        for stored in losses {
+            let step = crate::shard::id::StepKey { job, occurrence: stored.occurrence, step: stored.step };
+            let task = step.task(stored.index);
+            let Some(state) = self.task_mut(task) else { continue };
+            state.losses.record(stored.run, stored.loss.clone(), false);
+            if !stored.loss.is_crash {
+                self.unresolved
+                    .entry(stored.loss.incarnation.clone())
+                    .or_default()
+                    .insert((task, stored.run));
+            }
+            tasks.insert(task);
+        }
+        for task in tasks {
+            self.give_up_if_conclusive(now, task);
         }
     }
 }
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -6,6 +6,7 @@
 use crate::shard::id::{JobKey, WorkerIncarnation};
 use crate::shard::job::{Job, Phase, Placement, Task};
 use crate::shard::lease::{MAX_UNCONFIRMED_AGE, MIN_CLOCK_RATE};
+use crate::shard::loss::Losses;
 use crate::shard::message::WorkerEntry;
 use crate::shard::record::{Progress, Record};
 use crate::shard::retry::RefusedCallers;
@@ -74,6 +75,7 @@
             refused: RefusedCallers::default(),
             pass_due: true,
             stop_retries: BTreeMap::new(),
+            unresolved: BTreeMap::new(),
             last_check: now,
             pending_requests: BTreeMap::new(),
             requesting_hosts: 1,
@@ -167,6 +169,7 @@
         }
         if !ended {
             self.rerank_job(now, key);
+            self.restore_losses(now, key, &progress.losses);
         }
     }
 }
@@ -186,6 +189,7 @@
     Task {
         run: stored.run,
         failures: stored.failures.clone(),
+        losses: Losses::default(),
         done: false,
         checkpoint: stored.checkpoint.clone(),
         placement,
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -91,6 +91,8 @@
             self.pass_due = true;
             log::info!(target: "decision", "worker worker={incarnation} outcome=answers");
         }
+        self.withdraw_losses(incarnation);
+        let Some(worker) = self.workers.get(incarnation) else { return };
         let previous = worker.last_end;
         let truncated = report.ended.len() >= MAX_REPORTED_ENDS;
         for end in &report.ended {
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 
 use super::{Effect, Owner};
-use crate::shard::id::{StepKey, WorkerIncarnation};
-use crate::shard::job::{Phase, Placement};
+use crate::shard::id::{JobKey, StepKey, WorkerIncarnation};
+use crate::shard::job::{Phase, Placement, Step, Task};
 use crate::shard::order::Timeliness;
 use crate::shard::packing::{self, FreeCapacity};
 use crate::shard::spec::StepSpec;
+use crate::shard::worker::Worker;
 use crate::unit::{Resources, Timestamp};
 
 /// Number of consecutive steps that do not fit after which a pass ends; a pass has to stay within a few milliseconds on a
@@ -22,6 +23,8 @@
 /// Number of gangs with reserved workers; more would leave most of the fleet idle while gangs wait.
 const MAX_RESERVING_GANGS: usize = 2;
 
+/// Workers for each one that may hold runs of tasks under suspicion at the same time.
+const WORKERS_PER_PROBATION: usize = 8;
 /// Number of late gangs that are placed by age; each takes room from smaller steps that need less of it.
 const MAX_GANGS_BY_AGE: usize = 1;
 
@@ -42,6 +45,22 @@
 pub(super) struct Candidates {
     pub(super) list: Vec<Candidate>,
     index: BTreeMap<WorkerIncarnation, usize>,
+    probation: ProbationSlots,
+}
+
+/// Room for runs of tasks that may crash their worker.
+#[derive(Debug)]
+struct ProbationSlots {
+    /// Workers that may still take such runs.
+    free: usize,
+    /// Jobs with such a run.
+    jobs: BTreeSet<JobKey>,
+}
+
+impl ProbationSlots {
+    fn admits(&self, job: JobKey) -> bool {
+        self.free > 0 && !self.jobs.contains(&job)
+    }
 }
 
 /// Workers on which a step could be placed.
@@ -54,12 +73,53 @@
     expired: Vec<WorkerIncarnation>,
 }
 
+/// Tasks of a step that are placed in a pass.
+#[derive(Debug, Default)]
+struct PendingTasks {
+    /// Tasks that may crash their worker: all members of such a gang, else one at a time.
+    suspects: Vec<u32>,
+    /// Other tasks.
+    unsuspected: Vec<u32>,
+    /// Whether tasks under suspicion are left out of this pass.
+    on_hold: bool,
+}
+
+impl PendingTasks {
+    /// Selects the tasks; `admits_suspects` is whether one under suspicion may start now.
+    fn new(step: &Step, step_spec: &StepSpec, admits_suspects: bool) -> Self {
+        let unplaced = (0u32..).zip(&step.tasks).filter(|(_, t)| !t.done && t.placement.is_none());
+        let (suspects, unsuspected): (Vec<_>, Vec<_>) =
+            unplaced.partition(|(_, task)| task.losses.probation().is_some());
+        let indexes = |tasks: Vec<(u32, &Task)>| tasks.into_iter().map(|(index, _)| index).collect();
+        let mut pending =
+            Self { suspects: indexes(suspects), unsuspected: indexes(unsuspected), on_hold: false };
+        if pending.suspects.is_empty() {
+            return pending;
+        }
+        if !admits_suspects && step_spec.gang {
+            return Self { on_hold: true, ..Self::default() };
+        }
+        if !step_spec.gang {
+            let admitted = usize::from(admits_suspects);
+            pending.on_hold = pending.suspects.len() > admitted;
+            pending.suspects.truncate(admitted);
+        }
+        pending
+    }
+
+    fn count(&self) -> usize {
+        self.suspects.len() + self.unsuspected.len()
+    }
+}
+
 /// Result of the attempt to place a step.
 enum PlaceOutcome {
     Placed,
     NoRoom,
     /// The first recommendation request of the step is pending.
     AwaitingTickets,
+    /// The tasks that are left are under suspicion, and wait until others have passed their probation.
+    AwaitingProbation,
 }
 
 impl Owner {
@@ -85,7 +145,7 @@
                     misses = 0;
                     self.rerank_placed_step(now, key);
                 }
-                PlaceOutcome::AwaitingTickets => {}
+                PlaceOutcome::AwaitingTickets | PlaceOutcome::AwaitingProbation => {}
                 PlaceOutcome::NoRoom => {
                     misses += 1;
                     if gangs < MAX_RESERVING_GANGS
@@ -120,7 +180,14 @@
             .workers
             .iter()
             .filter(|(_, w)| w.is_usable(now) && (ignore_isolation || !w.health.is_isolated(now)));
+        let (on_probation, usable): (Vec<_>, Vec<_>) = usable.partition(|(_, w)| w.has_probation());
+        let slots = (usable.len() / WORKERS_PER_PROBATION).max(1);
+        let probation = ProbationSlots {
+            free: slots.saturating_sub(on_probation.len()),
+            jobs: self.workers.values().flat_map(Worker::jobs_on_probation).collect(),
+        };
         let list: Vec<Candidate> = usable
+            .into_iter()
             .map(|(incarnation, worker)| Candidate {
                 incarnation: incarnation.clone(),
                 service: worker.entry.service.clone(),
@@ -132,7 +199,7 @@
             })
             .collect();
         let index = list.iter().enumerate().map(|(index, c)| (c.incarnation.clone(), index)).collect();
-        Candidates { list, index }
+        Candidates { list, index, probation }
     }
 
     /// Updates the rank of a step without requesting another pass.
@@ -237,42 +304,30 @@
         if first_request && step.tickets.pending {
             return PlaceOutcome::AwaitingTickets;
         }
-        let pending = (0u32..).zip(&step.tasks).filter(|(_, t)| !t.done && t.placement.is_none());
-        let pending: Vec<u32> = pending.map(|(index, _)| index).collect();
+        let pending = PendingTasks::new(step, step_spec, candidates.probation.admits(key.job));
+        if pending.count() == 0 {
+            return PlaceOutcome::AwaitingProbation;
+        }
         let highest_run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0);
-        let PlacementOptions { mut capacities, indexes, expired } =
+        let PlacementOptions { capacities, indexes, expired } =
             self.placement_options(now, key, candidates, reserved);
+        let chosen = self.choose_workers(step_spec, &pending, capacities);
+        let incomplete = chosen.len() < pending.count();
         let resources = step_spec.reserved();
-        let mut chosen = Vec::new();
-        if step_spec.gang {
-            let count = u32::try_from(pending.len()).unwrap_or(u32::MAX);
-            if let Some(found) = packing::place_gang(resources, count, step_spec.single_rack, &capacities) {
-                chosen = pending.iter().copied().zip(found).collect();
-            }
-        } else {
-            for index in &pending {
-                let Some(chosen_index) = packing::place_single(resources, &capacities) else { break };
-                capacities[chosen_index].free = capacities[chosen_index].free.saturating_sub(resources);
-                capacities[chosen_index].max_tasks = capacities[chosen_index].max_tasks.saturating_sub(1);
-                chosen.push((*index, chosen_index));
-            }
-        }
-        let incomplete = chosen.len() < pending.len();
-        for (index, chosen_index) in chosen {
-            let candidate = &mut candidates.list[indexes[chosen_index]];
+        let gang_run = step_spec.gang.then_some(highest_run + 1);
+        for (index, chosen_index) in &chosen {
+            let candidate = &mut candidates.list[indexes[*chosen_index]];
             candidate.free = candidate.free.saturating_sub(resources);
             let incarnation = candidate.incarnation.clone();
-            self.place_task(
-                now,
-                key,
-                index,
-                step_spec.gang.then_some(highest_run + 1),
-                &incarnation,
-                resources,
-            );
+            self.place_task(now, key, *index, gang_run, &incarnation, resources);
+        }
+        for (_, chosen_index) in chosen.iter().filter(|(index, _)| pending.suspects.contains(index)) {
+            candidates.list[indexes[*chosen_index]].free = Resources::ZERO;
+            candidates.probation.free = candidates.probation.free.saturating_sub(1);
+            candidates.probation.jobs.insert(key.job);
         }
         if !incomplete {
-            return PlaceOutcome::Placed;
+            return if pending.on_hold { PlaceOutcome::AwaitingProbation } else { PlaceOutcome::Placed };
         }
         if can_request {
             // Tickets are renewed only for workers that have enough free resources now.
@@ -282,6 +337,62 @@
         if first_request { PlaceOutcome::AwaitingTickets } else { PlaceOutcome::NoRoom }
     }
 
+    /// Chooses workers for pending tasks, as pairs of a task's index and an index into `capacities`. Tasks under suspicion
+    /// go to the workers with the fewest runs.
+    fn choose_workers(
+        &self,
+        step_spec: &StepSpec,
+        pending: &PendingTasks,
+        mut capacities: Vec<FreeCapacity>,
+    ) -> Vec<(u32, usize)> {
+        let resources = step_spec.reserved();
+        if step_spec.gang {
+            let members: Vec<u32> = pending.suspects.iter().chain(&pending.unsuspected).copied().collect();
+            let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
+            let allowed = if pending.suspects.is_empty() {
+                (0..capacities.len()).collect()
+            } else {
+                self.quietest_workers(resources, count, &capacities)
+            };
+            let allowed_capacities: Vec<FreeCapacity> =
+                allowed.iter().map(|index| capacities[*index].clone()).collect();
+            let found = packing::place_gang(resources, count, step_spec.single_rack, &allowed_capacities);
+            let found = found.into_iter().flatten().map(|index| allowed[index]);
+            return members.into_iter().zip(found).collect();
+        }
+        let mut chosen = Vec::new();
+        for index in &pending.suspects {
+            let Some(quietest) = self.quietest_workers(resources, 1, &capacities).first().copied() else {
+                break;
+            };
+            capacities[quietest].max_tasks = 0;
+            chosen.push((*index, quietest));
+        }
+        for index in &pending.unsuspected {
+            let Some(chosen_index) = packing::place_single(resources, &capacities) else { break };
+            capacities[chosen_index].free = capacities[chosen_index].free.saturating_sub(resources);
+            capacities[chosen_index].max_tasks = capacities[chosen_index].max_tasks.saturating_sub(1);
+            chosen.push((*index, chosen_index));
+        }
+        chosen
+    }
+
+    /// Returns the workers with the fewest runs that hold `count` tasks together, or all if they hold fewer.
+    fn quietest_workers(&self, resources: Resources, count: u32, capacities: &[FreeCapacity]) -> Vec<usize> {
+        let runs =
+            |index: &usize| self.workers.get(&capacities[*index].incarnation).map_or(0, |w| w.runs.len());
+        let fitting = |index: &usize| packing::fitting_tasks(resources, &capacities[*index]);
+        let mut order: Vec<usize> = (0..capacities.len()).filter(|index| fitting(index) > 0).collect();
+        order.sort_by_key(runs);
+        let mut unplaced = count;
+        order.retain(|index| {
+            let needed = unplaced > 0;
+            unplaced = unplaced.saturating_sub(fitting(index));
+            needed
+        });
+        order
+    }
+
     fn place_task(
         &mut self,
         now: Timestamp,
@@ -306,9 +417,14 @@
             percent: 0,
             last_progress: now,
         });
+        let probation = task.losses.probation();
         job.active_runs += 1;
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.reserve(task_key, run, resources, None);
+            if let Some(age) = probation {
+                log::info!(target: "decision", "probation task={task_key} run={run} worker={incarnation} age_ms={}", age.as_millis());
+                worker.put_on_probation(task_key, run, age);
+            }
         }
         self.batch.progress.insert(key.job);
         self.batch.effects.push(Effect::Start(task_key, run));
--- a/yuccahoist/src/shard/record.rs
+++ b/yuccahoist/src/shard/record.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use super::id::{Epoch, JobKey, WorkerIncarnation};
+use super::loss::Loss;
 use super::spec::JobSpec;
 
 /// Version of the record layout, the first byte of each value.
@@ -102,6 +103,24 @@
     pub incarnations: Vec<WorkerIncarnation>,
     /// Tasks by occurrence and step, up to the last occurrence that is due; empty for a final job without current runs.
     pub occurrences: Vec<Vec<Vec<TaskProgress>>>,
+    /// Workers lost under runs. Stored behind the other fields, where versions that don't know them ignore them.
+    #[serde(skip)]
+    pub losses: Vec<TaskLoss>,
+}
+
+/// Stored loss of a worker under a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskLoss {
+    /// Occurrence of the job.
+    pub occurrence: u32,
+    /// Step of the occurrence.
+    pub step: u32,
+    /// Index of the task.
+    pub index: u32,
+    /// Run number.
+    pub run: u32,
+    /// Lost worker.
+    pub loss: Loss,
 }
 
 /// Ownership of the shard by one host in one epoch.
@@ -142,10 +161,32 @@
     postcard::to_extend(value, vec![LAYOUT_VERSION]).unwrap_or_default()
 }
 
+fn encode_progress(progress: &Progress) -> Vec<u8> {
+    let value = encode(progress);
+    if progress.losses.is_empty() {
+        return value;
+    }
+    postcard::to_extend(&progress.losses, value).unwrap_or_default()
+}
+
+fn decode_progress(key: &str, bytes: &[u8]) -> Result<Progress, RecordError> {
+    let invalid = |source| RecordError::Value { key: key.into(), source };
+    let (mut progress, rest) = decode_prefix::<Progress>(key, bytes)?;
+    if !rest.is_empty() {
+        progress.losses = postcard::from_bytes(rest).map_err(invalid)?;
+    }
+    Ok(progress)
+}
+
 fn decode<T: for<'a> Deserialize<'a>>(key: &str, bytes: &[u8]) -> Result<T, RecordError> {
+    decode_prefix(key, bytes).map(|(value, _)| value)
+}
+
+/// Decodes a value, and returns the bytes behind it.
+fn decode_prefix<'b, T: Deserialize<'b>>(key: &str, bytes: &'b [u8]) -> Result<(T, &'b [u8]), RecordError> {
     match bytes.split_first() {
         Some((&LAYOUT_VERSION, rest)) => {
-            postcard::from_bytes(rest).map_err(|source| RecordError::Value { key: key.into(), source })
+            postcard::take_from_bytes(rest).map_err(|source| RecordError::Value { key: key.into(), source })
         }
         other => Err(RecordError::Version { key: key.into(), found: other.map_or(0, |(v, _)| *v) }),
     }
@@ -156,7 +197,9 @@
         match record {
             Record::Owner(owner) => Self { key: OWNER_KEY.into(), value: Some(encode(owner)) },
             Record::Job(job, spec) => Self { key: format!("j{job}"), value: Some(encode(spec.as_ref())) },
-            Record::Progress(job, progress) => Self { key: format!("p{job}"), value: Some(encode(progress)) },
+            Record::Progress(job, progress) => {
+                Self { key: format!("p{job}"), value: Some(encode_progress(progress)) }
+            }
             Record::DeleteSpec(job) => Self { key: format!("j{job}"), value: None },
         }
     }
@@ -175,7 +218,7 @@
         match (key.as_bytes()[0], &entry.value) {
             (b'j', None) => Ok(Self::DeleteSpec(job)),
             (b'j', Some(value)) => Ok(Self::Job(job, Arc::new(decode(key, value)?))),
-            (b'p', Some(value)) => Ok(Self::Progress(job, decode(key, value)?)),
+            (b'p', Some(value)) => Ok(Self::Progress(job, decode_progress(key, value)?)),
             _ => Err(unknown()),
         }
     }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::health::Health;
-use super::id::{StepKey, TaskKey};
+use super::id::{JobKey, StepKey, TaskKey};
 use super::lease::Lease;
 use super::message::WorkerEntry;
 use super::pacing::Pace;
@@ -20,6 +20,8 @@
     pub ordered_at: Option<Timestamp>,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
+    /// How long the run has to be active until other runs may start beside it.
+    pub probation: Option<Duration>,
 }
 
 impl ReservedRun {
@@ -29,6 +31,12 @@
         let proven = self.ordered_at.zip(self.listed_at).map(|(from, to)| to.since(from));
         proven.unwrap_or_default()
     }
+
+    /// Whether the run may still crash its worker, as earlier runs of its task may have done.
+    #[must_use]
+    pub fn is_on_probation(&self) -> bool {
+        self.probation.is_some_and(|age| self.proven_age() < age)
+    }
 }
 
 /// State of the call that extends the lease and fetches a report.
@@ -102,10 +110,28 @@
     /// the run may be active.
     pub fn reserve(&mut self, task: TaskKey, run: u32, resources: Resources, ordered_at: Option<Timestamp>) {
         let Entry::Vacant(entry) = self.runs.entry((task, run)) else { return };
-        entry.insert(ReservedRun { resources, ordered_at, listed_at: None });
+        entry.insert(ReservedRun { resources, ordered_at, listed_at: None, probation: None });
         self.used += resources;
     }
 
+    /// Keeps other runs off the worker until a run has been active for `age`.
+    pub fn put_on_probation(&mut self, task: TaskKey, run: u32, age: Duration) {
+        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
+            reserved.probation = Some(age);
+        }
+    }
+
+    /// Returns the jobs with a run on probation on the worker.
+    pub fn jobs_on_probation(&self) -> impl Iterator<Item = JobKey> {
+        self.runs.iter().filter(|(_, run)| run.is_on_probation()).map(|((task, _), _)| task.step.job)
+    }
+
+    /// Whether a run on the worker is on probation.
+    #[must_use]
+    pub fn has_probation(&self) -> bool {
+        self.jobs_on_probation().next().is_some()
+    }
+
     /// Records that a report received at `now` lists a run.
     pub fn list(&mut self, now: Timestamp, task: TaskKey, run: u32) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
--- a/yuccahoist/tests/shard/records.rs
+++ b/yuccahoist/tests/shard/records.rs
@@ -1,9 +1,13 @@
 //! Encoding of the store's records, and decoding of invalid ones.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use assert_matches::assert_matches;
-use yuccahoist::shard::record::{Entry, JobState, Ownership, Progress, Record, RecordError, TaskProgress};
+use yuccahoist::shard::loss::Loss;
+use yuccahoist::shard::record::{
+    Entry, JobState, Ownership, Progress, Record, RecordError, TaskLoss, TaskProgress,
+};
 use yuccahoist::shard::{Epoch, JobKey, WorkerIncarnation};
 
 #[test]
@@ -15,11 +19,24 @@
         placement: Some(0),
         checkpoint: "00000bb8".into(),
     };
+    let loss = TaskLoss {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        run: 2,
+        loss: Loss {
+            incarnation: WorkerIncarnation::new("i-0", 4),
+            age: Duration::from_millis(40),
+            is_alone: true,
+            is_crash: false,
+        },
+    };
     let progress = Progress {
         state: JobState::Running,
         submitted: 1_790_000_000_000,
         incarnations: vec![WorkerIncarnation::new("i-1", 7)],
         occurrences: vec![vec![vec![task]]],
+        losses: vec![loss],
     };
     let owner = Ownership { epoch: Epoch(4), address: "10.0.0.1:7700".into(), host: "entry-1".into() };
     let records = [
