Copy a task from a silent worker only once while its fate is unknown

A step whose runs may overlap was copied at the first call that its worker left unanswered. The silent worker now counts as lost for the task: the copy is isolated like any task under suspicion, and a second one waits until the first worker answers, is back as another incarnation, or its lease expires.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -6,6 +6,7 @@
 use super::{Effect, Owner};
 use crate::shard::id::{TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
+use crate::shard::loss::WorkerFate;
 use crate::shard::message::{ActiveRun, OrderError, Report};
 use crate::shard::worker::LeaseExtension;
 use crate::unit::Timestamp;
@@ -57,6 +58,10 @@
                 continue;
             }
             let step = &mut job.occurrences[key.occurrence as usize][key.step as usize];
+            if step.tasks[task.index as usize].losses.has_unresolved() {
+                // The fate of one silent worker is awaited before the task risks a third.
+                continue;
+            }
             // An unconfirmed start order can still be executed, so its run keeps counting against the worker's capacity.
             let is_confirmed = |p: &Placement| matches!(p.phase, Phase::Running(_) | Phase::Inherited);
             let is_replaceable =
@@ -65,6 +70,7 @@
                 job.active_runs -= 1;
                 log::info!(target: "decision", "copy task={task} run={run} worker={incarnation} reason=\"worker is unresponsive\"");
                 self.batch.progress.insert(key.job);
+                self.record_loss(task, run, incarnation, WorkerFate::Unknown);
                 self.rerank_step(now, key);
             }
         }
