Tell deadly tasks from their neighbours by the moment of the crash

A run now counts as lost at its start only if this owner ordered it less than 0.3 s before the worker fell silent, and two such crashes are conclusive only if it was the sole suspect of one. A lost worker has also crashed when a later worker registers at its address: the platform brings some back under another id. Probation ends after 0.3 s for such tasks, 5 s at most, two tasks of a job and a sixth of the workers at a time.

--- a/yuccahoist/src/shard/loss.rs
+++ b/yuccahoist/src/shard/loss.rs
@@ -12,16 +12,21 @@
 
 use super::id::WorkerIncarnation;
 
-/// Age below which a run counts as lost at its start. A worker reports its runs at least once a second.
-pub const START_AGE: Duration = Duration::from_millis(500);
-/// Crashes at the start of a run after which a task is given up; the platform allows it after two.
-const MAX_START_CRASHES: usize = 2;
-/// Crashes after which a task is given up if no other job had a run on one of the workers.
-const MAX_CRASHES_ALONE: usize = 3;
+/// Age below which a run counts as lost at its start.
+pub const START_AGE: Duration = Duration::from_millis(300);
+/// Crashes at the start of a run after which a task is given up if it was the sole suspect of one; the platform allows it
+/// after two.
+const MAX_START_CRASHES_SOLE: usize = 2;
+/// Crashes at the start of a run after which a task is given up.
+const MAX_START_CRASHES: usize = 3;
+/// Crashes after which a task is given up if it was the sole suspect of two.
+const MAX_CRASHES_SOLE: usize = 3;
 /// Crashes after which a task is given up in any case; the platform allows two starts after the third crash.
 const MAX_CRASHES: usize = 4;
 /// Lost workers, crashed or not, after which a task is given up; one start before the platform's limit.
 const MAX_LOSSES: usize = 5;
+/// Longest probation of a run; its worker takes no other runs until it has passed.
+const MAX_PROBATION: Duration = Duration::from_secs(5);
 /// Age from which a run of a long-running task clears the task: its worker was lost for another reason.
 const CLEARING_AGE: Duration = Duration::from_secs(30);
 
@@ -51,10 +56,14 @@
 pub struct Loss {
     /// Worker that was lost.
     pub incarnation: WorkerIncarnation,
-    /// How long the run was seen active.
+    /// Address of the worker; another worker there shows that this one crashed.
+    pub address: String,
+    /// How long the run was active.
     pub age: Duration,
-    /// Whether no other job had a run on the worker.
-    pub is_alone: bool,
+    /// Whether the run had just started when the worker fell silent.
+    pub at_start: bool,
+    /// Whether no run of another job on the worker was as suspect: none was at its start, or there was none at all.
+    pub is_sole: bool,
     /// Whether the worker is known to have crashed; until then it may be unreachable.
     pub is_crash: bool,
 }
@@ -71,8 +80,8 @@
             self.0.clear();
             return;
         }
-        let recorded = self.0.entry(run).or_insert_with(|| loss.clone());
-        recorded.is_crash |= loss.is_crash;
+        let is_crash = loss.is_crash;
+        self.0.entry(run).or_insert(loss).is_crash |= is_crash;
     }
 
     /// Records that the worker of a lost run has crashed.
@@ -108,10 +117,11 @@
     #[must_use]
     pub fn is_conclusive(&self) -> bool {
         let crashes = || self.0.values().filter(|loss| loss.is_crash);
-        let at_start = crashes().filter(|loss| loss.age < START_AGE).count();
-        let alone = crashes().any(|loss| loss.is_alone);
-        at_start >= MAX_START_CRASHES
-            || (crashes().count() >= MAX_CRASHES_ALONE && alone)
+        let at_start = crashes().filter(|loss| loss.at_start).count();
+        let sole = crashes().filter(|loss| loss.is_sole).count();
+        (at_start >= MAX_START_CRASHES_SOLE && crashes().any(|loss| loss.at_start && loss.is_sole))
+            || at_start >= MAX_START_CRASHES
+            || (crashes().count() >= MAX_CRASHES_SOLE && sole > 1)
             || crashes().count() >= MAX_CRASHES
             || self.0.len() >= MAX_LOSSES
     }
@@ -121,7 +131,7 @@
     #[must_use]
     pub fn probation(&self) -> Option<Duration> {
         let longest = self.0.values().map(|loss| loss.age).max()?;
-        let suspect = self.0.len() > 1 || longest < START_AGE;
-        suspect.then(|| longest + START_AGE)
+        let suspect = self.0.len() > 1 || self.0.values().any(|loss| loss.at_start);
+        suspect.then(|| (longest + START_AGE).min(MAX_PROBATION))
     }
 }
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -151,8 +151,8 @@
     pass_due: bool,
     /// Time of the next stop order, by run whose last one was not answered.
     stop_retries: BTreeMap<(TaskKey, u32), Timestamp>,
-    /// Runs whose worker was lost and may be unreachable only.
-    unresolved: BTreeMap<WorkerIncarnation, BTreeSet<(TaskKey, u32)>>,
+    /// Lost workers that may be unreachable only.
+    unresolved: BTreeMap<WorkerIncarnation, losses::Unresolved>,
     last_check: Timestamp,
     /// Recommendation requests that are in flight or wait for a host.
     pending_requests: BTreeMap<StepKey, PendingRequest>,
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -21,7 +21,7 @@
 /// they expire.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(1_000);
 /// The same while a run is on probation, whose worker takes no other runs until reports show that it survives.
-const PROBATION_REPORT_WAIT: Duration = Duration::from_millis(250);
+const PROBATION_REPORT_WAIT: Duration = Duration::from_millis(100);
 /// Minimum time without progress after which a task counts as stalled: a task of 12 s on a worker that is 6 times as slow
 /// advances by one percent in 0.8 s.
 const MIN_STALL_AGE: Duration = Duration::from_millis(2_500);
@@ -116,7 +116,7 @@
         for previous in earlier {
             self.replace_incarnation(now, &previous, "a later incarnation registered");
         }
-        self.confirm_crashes_before(now, &incarnation);
+        self.confirm_crashes_before(now, &entry);
         if self.workers.keys().any(|i| i.id == incarnation.id && i.started_at > incarnation.started_at) {
             return;
         }
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -6,24 +6,40 @@
 use crate::shard::id::{JobKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::Task;
 use crate::shard::loss::{Loss, WorkerFate};
-use crate::shard::message::EndKind;
+use crate::shard::message::{EndKind, WorkerEntry};
 use crate::shard::record::{JobState, TaskLoss};
 use crate::unit::Timestamp;
 
+/// Runs of a lost worker that may be unreachable only.
+#[derive(Debug)]
+pub(super) struct Unresolved {
+    address: String,
+    runs: BTreeSet<(TaskKey, u32)>,
+}
+
+impl Unresolved {
+    fn new(address: &str) -> Self {
+        Self { address: address.to_owned(), runs: BTreeSet::new() }
+    }
+}
+
 impl Owner {
     /// Ends all runs of a lost worker.
     pub(super) fn lose_runs(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, fate: WorkerFate) {
         let Some(worker) = self.workers.get(incarnation) else { return };
         let runs: Vec<_> = worker.runs.iter().map(|(key, run)| (*key, *run)).collect();
         let beside = runs.len().saturating_sub(1);
-        for ((task, run), reserved) in runs {
-            let age = reserved.proven_age().as_millis();
+        let silent_since = worker.silent_since.unwrap_or(now);
+        for ((task, run), reserved) in &runs {
+            let age = reserved.age_at(silent_since).as_millis();
             log::info!(
                 target: "decision",
                 "lost task={task} run={run} worker={incarnation} fate={fate} ordered={} age_ms={age} beside={beside}",
                 reserved.ordered_at.is_some(),
             );
-            self.record_loss(task, run, incarnation, fate);
+            self.record_loss(now, *task, *run, incarnation, fate);
+        }
+        for ((task, run), _) in runs {
             self.on_end(now, incarnation, task, run, EndKind::Lapsed, "");
             self.give_up_if_conclusive(now, task);
         }
@@ -37,6 +53,7 @@
     /// Records that a worker was lost under a run, unless the run certainly never started.
     pub(super) fn record_loss(
         &mut self,
+        now: Timestamp,
         task: TaskKey,
         run: u32,
         incarnation: &WorkerIncarnation,
@@ -44,10 +61,15 @@
     ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
         let Some(reserved) = worker.runs.get(&(task, run)).filter(|r| r.ordered_at.is_some()) else { return };
+        let silent_since = worker.silent_since.unwrap_or(now);
+        let at_start = reserved.is_at_start(silent_since);
+        let mut others = worker.runs.iter().filter(|((other, _), _)| other.step.job != task.step.job);
         let loss = Loss {
             incarnation: incarnation.clone(),
-            age: reserved.proven_age(),
-            is_alone: worker.runs.keys().all(|(other, _)| other.step.job == task.step.job),
+            address: worker.entry.address.clone(),
+            age: reserved.age_at(silent_since),
+            at_start,
+            is_sole: others.all(|(_, other)| at_start && !other.is_at_start(silent_since)),
             is_crash: fate == WorkerFate::Crashed,
         };
         if fate == WorkerFate::Left {
@@ -56,13 +78,22 @@
         let Some(job) = self.jobs.get(&task.step.job).filter(|j| !j.state.is_final()) else { return };
         let long_running = job.spec.steps.get(task.step.step as usize).is_some_and(|s| s.long_running);
         let Some(state) = self.task_mut(task).filter(|t| !t.done) else { return };
+        let address = loss.address.clone();
         state.losses.record(run, loss, long_running);
         self.batch.progress.insert(task.step.job);
         if fate == WorkerFate::Unknown {
-            self.unresolved.entry(incarnation.clone()).or_default().insert((task, run));
+            self.unresolved
+                .entry(incarnation.clone())
+                .or_insert_with(|| Unresolved::new(&address))
+                .runs
+                .insert((task, run));
         }
     }
 
+    fn take_unresolved(&mut self, incarnation: &WorkerIncarnation) -> BTreeSet<(TaskKey, u32)> {
+        self.unresolved.remove(incarnation).map(|unresolved| unresolved.runs).unwrap_or_default()
+    }
+
     fn task_mut(&mut self, task: TaskKey) -> Option<&mut Task> {
         let key = task.step;
         let steps = self.jobs.get_mut(&key.job)?.occurrences.get_mut(key.occurrence as usize)?;
@@ -71,7 +102,7 @@
 
     /// Handles the proof that a lost worker has crashed.
     fn confirm_crash(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
-        for (task, run) in self.unresolved.remove(incarnation).unwrap_or_default() {
+        for (task, run) in self.take_unresolved(incarnation) {
             let Some(state) = self.task_mut(task) else { continue };
             state.losses.confirm(run);
             self.batch.progress.insert(task.step.job);
@@ -79,19 +110,23 @@
         }
     }
 
-    /// Handles the registration of a worker: lost incarnations before it have crashed.
-    pub(super) fn confirm_crashes_before(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
-        let first = WorkerIncarnation { id: incarnation.id.clone(), started_at: 0 };
-        let crashed: Vec<_> =
-            self.unresolved.range(first..incarnation.clone()).map(|(i, _)| i.clone()).collect();
-        for previous in crashed {
-            self.confirm_crash(now, &previous);
+    /// Handles the registration of a worker: lost ones that started earlier with its id or address have crashed.
+    pub(super) fn confirm_crashes_before(&mut self, now: Timestamp, entry: &WorkerEntry) {
+        let incarnation = &entry.incarnation;
+        let is_replaced = |lost: &WorkerIncarnation, unresolved: &Unresolved| {
+            (lost.id == incarnation.id || unresolved.address == entry.address)
+                && lost.started_at < incarnation.started_at
+        };
+        let replaced = self.unresolved.iter().filter(|(lost, unresolved)| is_replaced(lost, unresolved));
+        let replaced: Vec<_> = replaced.map(|(lost, _)| lost.clone()).collect();
+        for lost in replaced {
+            self.confirm_crash(now, &lost);
         }
     }
 
     /// Withdraws the losses of a worker that was only unreachable, or has left.
     pub(super) fn withdraw_losses(&mut self, incarnation: &WorkerIncarnation) {
-        for (task, run) in self.unresolved.remove(incarnation).unwrap_or_default() {
+        for (task, run) in self.take_unresolved(incarnation) {
             let Some(state) = self.task_mut(task) else { continue };
             state.losses.withdraw(run);
             self.batch.progress.insert(task.step.job);
@@ -103,9 +138,9 @@
     pub(super) fn forget_losses(&mut self) {
         let jobs = &self.jobs;
         let is_open = |key: &JobKey| jobs.get(key).is_some_and(|j| !j.state.is_final());
-        self.unresolved.retain(|_, runs| {
-            runs.retain(|(task, _)| is_open(&task.step.job));
-            !runs.is_empty()
+        self.unresolved.retain(|_, unresolved| {
+            unresolved.runs.retain(|(task, _)| is_open(&task.step.job));
+            !unresolved.runs.is_empty()
         });
     }
 
@@ -123,6 +158,15 @@
         self.finish_job(now, task.step.job, JobState::Failed);
     }
 
+    /// Puts the inherited run of a task under suspicion on probation again.
+    fn restore_probation(&mut self, task: TaskKey) {
+        let Some(state) = self.task_mut(task) else { return };
+        let Some((age, placement)) = state.losses.probation().zip(state.placement.clone()) else { return };
+        if let Some(worker) = self.workers.get_mut(&placement.incarnation) {
+            worker.put_on_probation(task, placement.run, age);
+        }
+    }
+
     /// Restores the losses of a job's tasks.
     pub(super) fn restore_losses(&mut self, now: Timestamp, job: JobKey, losses: &[TaskLoss]) {
         let mut tasks = BTreeSet::new();
@@ -132,14 +176,14 @@
             let Some(state) = self.task_mut(task) else { continue };
             state.losses.record(stored.run, stored.loss.clone(), false);
             if !stored.loss.is_crash {
-                self.unresolved
-                    .entry(stored.loss.incarnation.clone())
-                    .or_default()
-                    .insert((task, stored.run));
+                let unresolved = self.unresolved.entry(stored.loss.incarnation.clone());
+                let unresolved = unresolved.or_insert_with(|| Unresolved::new(&stored.loss.address));
+                unresolved.runs.insert((task, stored.run));
             }
             tasks.insert(task);
         }
         for task in tasks {
+            self.restore_probation(task);
             self.give_up_if_conclusive(now, task);
         }
     }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -36,6 +36,7 @@
         worker.lease_extension = LeaseExtension::Due(now + UNANSWERED_CALL_DELAY);
         if worker.is_responsive {
             worker.is_responsive = false;
+            worker.silent_since = Some(now);
             log::warn!(
                 target: "decision",
                 "worker worker={incarnation} outcome=silent error={error:?} runs={} lease_ms={}",
@@ -70,7 +71,7 @@
                 job.active_runs -= 1;
                 log::info!(target: "decision", "copy task={task} run={run} worker={incarnation} reason=\"worker is unresponsive\"");
                 self.batch.progress.insert(key.job);
-                self.record_loss(task, run, incarnation, WorkerFate::Unknown);
+                self.record_loss(now, task, run, incarnation, WorkerFate::Unknown);
                 self.rerank_step(now, key);
             }
         }
@@ -94,6 +95,7 @@
         }
         if !worker.is_responsive {
             worker.is_responsive = true;
+            worker.silent_since = None;
             self.pass_due = true;
             log::info!(target: "decision", "worker worker={incarnation} outcome=answers");
         }
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -24,7 +24,11 @@
 const MAX_RESERVING_GANGS: usize = 2;
 
 /// Workers for each one that may hold runs of tasks under suspicion at the same time.
-const WORKERS_PER_PROBATION: usize = 8;
+const WORKERS_PER_PROBATION: usize = 6;
+/// Workers of a small fleet that may hold such runs at the same time.
+const MIN_PROBATION_SLOTS: usize = 2;
+/// Runs of one job that may crash their worker at their start at the same time.
+const MAX_UNPROVEN_RUNS: usize = 2;
 /// Number of late gangs that are placed by age; each takes room from smaller steps that need less of it.
 const MAX_GANGS_BY_AGE: usize = 1;
 
@@ -53,13 +57,18 @@
 struct ProbationSlots {
     /// Workers that may still take such runs.
     free: usize,
-    /// Jobs with such a run.
-    jobs: BTreeSet<JobKey>,
+    /// Number of such runs by job.
+    runs: BTreeMap<JobKey, usize>,
 }
 
 impl ProbationSlots {
     fn admits(&self, job: JobKey) -> bool {
-        self.free > 0 && !self.jobs.contains(&job)
+        self.free > 0 && self.runs.get(&job).is_none_or(|runs| *runs < MAX_UNPROVEN_RUNS)
+    }
+
+    fn take(&mut self, job: JobKey) {
+        self.free = self.free.saturating_sub(1);
+        *self.runs.entry(job).or_default() += 1;
     }
 }
 
@@ -181,11 +190,14 @@
             .iter()
             .filter(|(_, w)| w.is_usable(now) && (ignore_isolation || !w.health.is_isolated(now)));
         let (on_probation, usable): (Vec<_>, Vec<_>) = usable.partition(|(_, w)| w.has_probation());
-        let slots = (usable.len() / WORKERS_PER_PROBATION).max(1);
-        let probation = ProbationSlots {
-            free: slots.saturating_sub(on_probation.len()),
-            jobs: self.workers.values().flat_map(Worker::jobs_on_probation).collect(),
-        };
+        let slots = (usable.len() / WORKERS_PER_PROBATION).max(MIN_PROBATION_SLOTS);
+        let unproven = on_probation.iter().filter(|(_, w)| w.unproven_jobs().next().is_some()).count();
+        let mut runs = BTreeMap::new();
+        self.workers
+            .values()
+            .flat_map(Worker::unproven_jobs)
+            .for_each(|job| *runs.entry(job).or_default() += 1);
+        let probation = ProbationSlots { free: slots.saturating_sub(unproven), runs };
         let list: Vec<Candidate> = usable
             .into_iter()
             .map(|(incarnation, worker)| Candidate {
@@ -323,8 +335,7 @@
         }
         for (_, chosen_index) in chosen.iter().filter(|(index, _)| pending.suspects.contains(index)) {
             candidates.list[indexes[*chosen_index]].free = Resources::ZERO;
-            candidates.probation.free = candidates.probation.free.saturating_sub(1);
-            candidates.probation.jobs.insert(key.job);
+            candidates.probation.take(key.job);
         }
         if !incomplete {
             return if pending.on_hold { PlaceOutcome::AwaitingProbation } else { PlaceOutcome::Placed };
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -7,6 +7,7 @@
 use super::health::Health;
 use super::id::{JobKey, StepKey, TaskKey};
 use super::lease::Lease;
+use super::loss::START_AGE;
 use super::message::WorkerEntry;
 use super::pacing::Pace;
 use crate::unit::{Resources, Timestamp};
@@ -18,6 +19,8 @@
     pub resources: Resources,
     /// When the worker may first have started the run; `None` before the start order is sent.
     pub ordered_at: Option<Timestamp>,
+    /// Whether a previous owner sent the start order, so that the age of the run is unknown.
+    pub is_inherited: bool,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
     /// How long the run has to be active until other runs may start beside it.
@@ -32,6 +35,22 @@
         proven.unwrap_or_default()
     }
 
+    /// Returns how long the run was active when its worker fell silent at `silent_since`, at most; at least, for a run whose
+    /// start this owner did not order.
+    #[must_use]
+    pub fn age_at(&self, silent_since: Timestamp) -> Duration {
+        match self.ordered_at {
+            Some(from) if !self.is_inherited => silent_since.since(from),
+            _ => self.proven_age(),
+        }
+    }
+
+    /// Whether the run had just started when its worker fell silent at `silent_since`.
+    #[must_use]
+    pub fn is_at_start(&self, silent_since: Timestamp) -> bool {
+        self.ordered_at.is_some() && !self.is_inherited && self.age_at(silent_since) < START_AGE
+    }
+
     /// Whether the run may still crash its worker, as earlier runs of its task may have done.
     #[must_use]
     pub fn is_on_probation(&self) -> bool {
@@ -61,6 +80,8 @@
     pub has_reported: bool,
     /// Whether the worker is responsive, i.e. answered the last call.
     pub is_responsive: bool,
+    /// Since when the worker has been unresponsive; `None` while it answers.
+    pub silent_since: Option<Timestamp>,
     /// When the call that the last report answers was sent.
     pub last_report: Timestamp,
     /// Lease, with the last reading of the worker's clock.
@@ -73,6 +94,8 @@
     pub lease_extension: LeaseExtension,
     /// Runs that may be active on the worker, by task and run number.
     pub runs: BTreeMap<(TaskKey, u32), ReservedRun>,
+    /// Number of `runs` that were put on probation.
+    pub probations: usize,
     /// Sum of the resources in `runs`.
     pub used: Resources,
     /// Recent failures and isolation.
@@ -93,12 +116,14 @@
             reregisters_until: Timestamp::ZERO,
             has_reported: false,
             is_responsive: true,
+            silent_since: None,
             last_report: now,
             lease: Lease::new(inherited),
             acked_end: 0,
             last_end: 0,
             lease_extension: LeaseExtension::Due(now),
             runs: BTreeMap::new(),
+            probations: 0,
             used: Resources::ZERO,
             health: Health::default(),
             pace: Pace::default(),
@@ -107,29 +132,37 @@
     }
 
     /// Reserves the resources of a run; has no effect when they are reserved already. `ordered_at` is the time from which
-    /// the run may be active.
+    /// a run of a previous owner may be active.
     pub fn reserve(&mut self, task: TaskKey, run: u32, resources: Resources, ordered_at: Option<Timestamp>) {
         let Entry::Vacant(entry) = self.runs.entry((task, run)) else { return };
-        entry.insert(ReservedRun { resources, ordered_at, listed_at: None, probation: None });
+        entry.insert(ReservedRun {
+            resources,
+            ordered_at,
+            is_inherited: ordered_at.is_some(),
+            listed_at: None,
+            probation: None,
+        });
         self.used += resources;
     }
 
     /// Keeps other runs off the worker until a run has been active for `age`.
     pub fn put_on_probation(&mut self, task: TaskKey, run: u32, age: Duration) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
-            reserved.probation = Some(age);
+            self.probations += usize::from(reserved.probation.replace(age).is_none());
         }
     }
 
-    /// Returns the jobs with a run on probation on the worker.
-    pub fn jobs_on_probation(&self) -> impl Iterator<Item = JobKey> {
-        self.runs.iter().filter(|(_, run)| run.is_on_probation()).map(|((task, _), _)| task.step.job)
+    /// Returns the jobs of the runs on the worker that may still crash it at their start.
+    pub fn unproven_jobs(&self) -> impl Iterator<Item = JobKey> {
+        let runs = if self.probations == 0 { None } else { Some(&self.runs) };
+        let unproven = |run: &ReservedRun| run.is_on_probation() && run.proven_age() < START_AGE;
+        runs.into_iter().flatten().filter(move |(_, run)| unproven(run)).map(|((task, _), _)| task.step.job)
     }
 
     /// Whether a run on the worker is on probation.
     #[must_use]
     pub fn has_probation(&self) -> bool {
-        self.jobs_on_probation().next().is_some()
+        self.probations > 0 && self.runs.values().any(ReservedRun::is_on_probation)
     }
 
     /// Records that a report received at `now` lists a run.
@@ -149,7 +182,8 @@
     /// Releases the resources of a run.
     pub fn release(&mut self, task: TaskKey, run: u32) {
         self.ordered_paces.remove(&(task, run));
-        if self.runs.remove(&(task, run)).is_some() {
+        if let Some(released) = self.runs.remove(&(task, run)) {
+            self.probations -= usize::from(released.probation.is_some());
             // Summed anew: subtraction saturates, so `used` could end up too high.
             self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum + run.resources);
         }
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -73,6 +73,8 @@
     pub crash_after: u64,
     /// Time after which a crashed worker is back, milliseconds.
     pub down: u64,
+    /// Whether it is back under another id at the same address.
+    pub new_id: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -114,8 +116,9 @@
     unreachable_until: Timestamp,
     /// Whether an unreachable worker still receives calls and only its answers are lost.
     receives_calls: bool,
-    /// When the worker crashes, and whether it has crashed already and waits for its restart.
-    crash_at: Option<Timestamp>,
+    /// When each deadly run crashes the worker, unless it has ended by then.
+    crash_times: BTreeMap<(TaskKey, u32), Timestamp>,
+    /// Whether the worker has crashed and waits for its restart.
     is_down: bool,
 }
 
@@ -145,7 +148,7 @@
             pending_report: None,
             unreachable_until: Timestamp::ZERO,
             receives_calls: false,
-            crash_at: None,
+            crash_times: BTreeMap::new(),
             is_down: false,
         }
     }
@@ -199,6 +202,8 @@
     pub deadly: Option<DeadlyTasks>,
     /// Crashes of workers by the deadly task that caused them, and its starts after the third one.
     pub crashes: BTreeMap<TaskKey, (u32, u32)>,
+    /// Workers that crashed under each task, whichever run was the cause.
+    pub lost_workers: BTreeMap<TaskKey, u32>,
     /// Last answer by call number.
     pub answers: BTreeMap<u64, Answer>,
     /// Last state of each job that was reported to callers.
@@ -239,6 +244,7 @@
             faults: Faults::default(),
             deadly: None,
             crashes: BTreeMap::new(),
+            lost_workers: BTreeMap::new(),
             answers: BTreeMap::new(),
             visible_states: BTreeMap::new(),
             starts: BTreeMap::new(),
@@ -309,12 +315,28 @@
     pub fn restart_worker(&mut self, number: usize) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
-        let mut worker = Worker::new(u32::try_from(number).expect("few workers"), incarnation.started_at + 1);
+        let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
+        let mut worker = Worker::new(id, incarnation.started_at + 1);
         worker.entry.capacity = previous.map_or(WORKER_CAPACITY, |w| w.entry.capacity);
         self.workers.insert(worker.entry.incarnation.clone(), worker);
         self.register(number);
     }
 
+    /// Replaces a worker by one with another id at the same address.
+    fn replace_worker(&mut self, number: usize) {
+        let Some((incarnation, previous)) = self.workers.iter().nth(number) else { return };
+        let (incarnation, address) = (incarnation.clone(), previous.entry.address.clone());
+        self.workers.remove(&incarnation);
+        self.handle_event(Event::WorkerUnlisted(incarnation.id.clone()));
+        let id: u32 = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
+        let mut worker = Worker::new(id + 100, incarnation.started_at + 1);
+        worker.entry.address = address;
+        let replacement = worker.entry.incarnation.clone();
+        self.workers.insert(replacement.clone(), worker);
+        let position = self.workers.keys().position(|i| *i == replacement);
+        position.into_iter().for_each(|number| self.register(number));
+    }
+
     /// Changes the capacity that a worker has and reports.
     pub fn resize_worker(&mut self, number: usize, capacity: Resources) {
         if let Some(worker) = self.workers.values_mut().nth(number) {
@@ -327,8 +349,10 @@
     pub fn crash_worker(&mut self, number: usize, down: u64) {
         let now = self.now;
         if let Some(worker) = self.workers.values_mut().nth(number).filter(|w| !w.is_down) {
-            worker.runs.clear();
-            worker.crash_at = None;
+            for (task, _) in std::mem::take(&mut worker.runs).into_keys() {
+                *self.lost_workers.entry(task).or_default() += 1;
+            }
+            worker.crash_times.clear();
             worker.is_down = true;
             worker.receives_calls = false;
             worker.unreachable_until = now + Duration::from_millis(down);
@@ -341,37 +365,38 @@
     /// Crashes the workers on which a deadly task has been active for long enough, and restarts those that were down.
     fn advance_crashes(&mut self) {
         let now = self.now;
-        let workers: Vec<(bool, bool)> = self
-            .workers
-            .values()
-            .map(|w| (w.crash_at.is_some_and(|at| at <= now), w.is_down && w.unreachable_until <= now))
-            .collect();
         let down = self.deadly.as_ref().map_or(0, |d| d.down);
-        for (number, (crashes, is_back)) in workers.into_iter().enumerate() {
-            if crashes {
+        for number in 0..self.workers.len() {
+            let Some(worker) = self.workers.values_mut().nth(number) else { continue };
+            worker.crash_times.retain(|key, _| worker.runs.contains_key(key));
+            let culprit = worker.crash_times.iter().find(|(_, at)| **at <= now).map(|(key, _)| key.0);
+            let is_back = worker.is_down && worker.unreachable_until <= now;
+            if let Some(task) = culprit {
+                self.crashes.entry(task).or_default().0 += 1;
                 self.crash_worker(number, down);
             }
-            if is_back {
+            if is_back && self.deadly.as_ref().is_some_and(|d| d.new_id) {
+                self.replace_worker(number);
+            } else if is_back {
                 self.restart_worker(number);
             }
         }
     }
 
     /// Counts a start of a deadly task, schedules the crash of its worker, and checks the budget of the task.
-    fn start_deadly(&mut self, incarnation: &WorkerIncarnation, task: TaskKey) {
+    fn start_deadly(&mut self, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
         let Some(deadly) = &self.deadly else { return };
         if !deadly.tasks.contains(&(task.step.job, task.index)) {
             return;
         }
         let crash_at = self.now + Duration::from_millis(deadly.crash_after);
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.crash_at.get_or_insert(crash_at);
+            worker.crash_times.insert((task, run), crash_at);
         }
         let (crashes, later_starts) = self.crashes.entry(task).or_default();
         if *crashes >= 3 {
             *later_starts += 1;
         }
-        *crashes += 1;
         assert!(
             *later_starts < MAX_STARTS_AFTER_CRASHES,
             "{task} starts once more after {crashes} workers have crashed under it"
@@ -664,7 +689,8 @@
                 }
                 let unreachable = worker.unreachable_until > self.now;
                 if let Some(event) = self.execute(epoch, action.clone()) {
-                    let crash_at = self.workers.get(&incarnation).and_then(|w| w.crash_at);
+                    let crash_at =
+                        self.workers.get(&incarnation).and_then(|w| w.crash_times.values().min().copied());
                     let unreachable = unreachable || crash_at.is_some_and(|at| at <= self.now);
                     let event = if unreachable { unanswered(&action) } else { event };
                     let delay = if unreachable { ORDER_TIMEOUT_MS } else { CALL_ROUND_TRIP_MS / 2 };
@@ -787,7 +813,7 @@
             tail_target: step_spec.tail_target.and_then(|t| u64::try_from(t.as_millis()).ok()),
         };
         worker.runs.insert((task, run), state);
-        self.start_deadly(incarnation, task);
+        self.start_deadly(incarnation, task, run);
     }
 
     /// Queries the state of a job, and checks that a final state never changes.
--- a/yuccahoist/tests/shard/records.rs
+++ b/yuccahoist/tests/shard/records.rs
@@ -26,8 +26,10 @@
         run: 2,
         loss: Loss {
             incarnation: WorkerIncarnation::new("i-0", 4),
+            address: "10.0.0.9:8000".into(),
             age: Duration::from_millis(40),
-            is_alone: true,
+            at_start: true,
+            is_sole: true,
             is_crash: false,
         },
     };
