Hold only started runs against a task as proof

Only a run that the worker certainly started, by its answer or in a report, is proof now. Orders without an answer still count towards the limit of four lost workers, so that a task that crashes its worker before each answer is given up as well.

--- a/yuccahoist/src/shard/loss.rs
+++ b/yuccahoist/src/shard/loss.rs
@@ -21,10 +21,9 @@
 const MAX_START_CRASHES: usize = 3;
 /// Crashes after which a task is given up if it was the sole suspect of two.
 const MAX_CRASHES_SOLE: usize = 3;
-/// Crashes after which a task is given up in any case; the platform allows two starts after the third crash.
-const MAX_CRASHES: usize = 4;
-/// Lost workers, crashed or not, after which a task is given up; one start before the platform's limit.
-const MAX_LOSSES: usize = 5;
+/// Lost workers, whether or not they crashed or even started the run, after which a task is given up; the platform allows
+/// two starts after the third crash.
+const MAX_LOSSES: usize = 4;
 /// Longest probation of a run; its worker takes no other runs until it has passed.
 const MAX_PROBATION: Duration = Duration::from_secs(5);
 /// Age from which a run of a long-running task clears the task: its worker was lost for another reason.
@@ -62,6 +61,8 @@
     pub age: Duration,
     /// Whether the run had just started when the worker fell silent.
     pub at_start: bool,
+    /// Whether the worker certainly started the run; the order can also have found it dead.
+    pub is_started: bool,
     /// Whether no run of another job on the worker was as suspect: none was at its start, or there was none at all.
     pub is_sole: bool,
     /// Whether the worker is known to have crashed; until then it may be unreachable.
@@ -116,13 +117,12 @@
     /// Whether the task is to be given up, because it crashes its workers.
     #[must_use]
     pub fn is_conclusive(&self) -> bool {
-        let crashes = || self.0.values().filter(|loss| loss.is_crash);
+        let crashes = || self.0.values().filter(|loss| loss.is_crash && loss.is_started);
         let at_start = crashes().filter(|loss| loss.at_start).count();
         let sole = crashes().filter(|loss| loss.is_sole).count();
         (at_start >= MAX_START_CRASHES_SOLE && crashes().any(|loss| loss.at_start && loss.is_sole))
             || at_start >= MAX_START_CRASHES
             || (crashes().count() >= MAX_CRASHES_SOLE && sole > 1)
-            || crashes().count() >= MAX_CRASHES
             || self.0.len() >= MAX_LOSSES
     }
 
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -34,8 +34,8 @@
             let age = reserved.age_at(silent_since).as_millis();
             log::info!(
                 target: "decision",
-                "lost task={task} run={run} worker={incarnation} fate={fate} ordered={} age_ms={age} beside={beside}",
-                reserved.ordered_at.is_some(),
+                "lost task={task} run={run} worker={incarnation} fate={fate} started={} age_ms={age} beside={beside}",
+                reserved.is_started,
             );
             self.record_loss(now, *task, *run, incarnation, fate);
         }
@@ -69,6 +69,7 @@
             address: worker.entry.address.clone(),
             age: reserved.age_at(silent_since),
             at_start,
+            is_started: reserved.is_started,
             is_sole: others.all(|(_, other)| at_start && !other.is_at_start(silent_since)),
             is_crash: fate == WorkerFate::Crashed,
         };
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -43,6 +43,9 @@
             Ok(()) => {
                 placement.phase = Phase::Running(now);
                 placement.last_progress = now;
+                if let Some(worker) = self.workers.get_mut(incarnation) {
+                    worker.confirm_start(task, run);
+                }
                 self.mark_running(task.step.job);
                 return;
             }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -21,6 +21,8 @@
     pub ordered_at: Option<Timestamp>,
     /// Whether a previous owner sent the start order, so that the age of the run is unknown.
     pub is_inherited: bool,
+    /// Whether the worker certainly started the run: it answered the order or listed the run.
+    pub is_started: bool,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
     /// How long the run has to be active until other runs may start beside it.
@@ -139,6 +141,7 @@
             resources,
             ordered_at,
             is_inherited: ordered_at.is_some(),
+            is_started: false,
             listed_at: None,
             probation: None,
         });
@@ -169,6 +172,14 @@
     pub fn list(&mut self, now: Timestamp, task: TaskKey, run: u32) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
             reserved.listed_at = Some(now);
+            reserved.is_started = true;
+        }
+    }
+
+    /// Records that the worker answered the start order of a run.
+    pub fn confirm_start(&mut self, task: TaskKey, run: u32) {
+        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
+            reserved.is_started = true;
         }
     }
 
--- a/yuccahoist/tests/shard/deadly.rs
+++ b/yuccahoist/tests/shard/deadly.rs
@@ -198,6 +198,22 @@
     }
 }
 
+#[test]
+fn order_that_finds_worker_dead_is_not_held_against_task() {
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(200);
+    cluster.submit(1, spec(1, 1_000));
+    for _ in 0..2 {
+        // The placement is written, and both workers crash before the order arrives.
+        cluster.advance(5);
+        cluster.crash_worker(0, 3_000);
+        cluster.crash_worker(1, 3_000);
+        cluster.advance(3_300);
+    }
+    cluster.advance(20_000);
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed));
+}
+
 /// Time by which the harmless jobs among a hundred deadly ones have to be done: that of their work, and of two crashes of
 /// three seconds for each deadly job, spread over twelve workers.
 const FLOOD_MS: u64 = 80_000;
--- a/yuccahoist/tests/shard/records.rs
+++ b/yuccahoist/tests/shard/records.rs
@@ -29,6 +29,7 @@
             address: "10.0.0.9:8000".into(),
             age: Duration::from_millis(40),
             at_start: true,
+            is_started: true,
             is_sole: true,
             is_crash: false,
         },
