--- a/yuccahoist/src/shard/loss.rs
+++ b/yuccahoist/src/shard/loss.rs
@@ -102,12 +102,6 @@
         self.0.iter().map(|(run, loss)| (*run, loss))
     }
 
-    /// Whether no worker was lost.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Whether a lost worker may still be unreachable only.
     #[must_use]
     pub fn has_unresolved(&self) -> bool {
@@ -126,6 +120,12 @@
             || self.0.len() >= MAX_LOSSES
     }
 
+    /// Whether the next run may crash its worker at its start, as the last one may have done.
+    #[must_use]
+    pub fn may_crash_at_start(&self) -> bool {
+        self.0.last_key_value().is_some_and(|(_, loss)| loss.at_start)
+    }
+
     /// Returns how long the next run of the task has to be active until other runs may start beside it; `None` for a task
     /// that is not under suspicion.
     #[must_use]
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -8,7 +8,7 @@
 use crate::shard::job::{Phase, Placement};
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{ActiveRun, OrderError, Report};
-use crate::shard::worker::LeaseExtension;
+use crate::shard::worker::{LeaseExtension, Worker};
 use crate::unit::Timestamp;
 
 /// Number of ended runs from which a report may be truncated; defined by the platform.
@@ -112,6 +112,7 @@
         if last_end > previous {
             self.batch.effects.push(Effect::Acknowledge(incarnation.clone(), last_end));
         }
+        let had_probation = self.workers.get(incarnation).is_some_and(Worker::has_probation);
         let mut listed = BTreeSet::new();
         for active in &report.active {
             listed.insert((active.task, active.run));
@@ -120,6 +121,7 @@
                 worker.list(now, active.task, active.run);
             }
         }
+        self.pass_due |= had_probation;
         self.pace_fillers(now, incarnation, &report.active);
         if !truncated {
             self.on_unlisted_runs(now, incarnation, sent, &listed);
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -23,8 +23,8 @@
 /// Number of gangs with reserved workers; more would leave most of the fleet idle while gangs wait.
 const MAX_RESERVING_GANGS: usize = 2;
 
-/// Workers for each one that may hold runs of tasks under suspicion at the same time.
-const WORKERS_PER_PROBATION: usize = 6;
+/// Workers for each one that may hold a run that may crash it at its start.
+const WORKERS_PER_PROBATION: usize = 3;
 /// Workers of a small fleet that may hold such runs at the same time.
 const MIN_PROBATION_SLOTS: usize = 2;
 /// Runs of one job that may crash their worker at their start at the same time.
@@ -85,7 +85,7 @@
 /// Tasks of a step that are placed in a pass.
 #[derive(Debug, Default)]
 struct PendingTasks {
-    /// Tasks that may crash their worker: all members of such a gang, else one at a time.
+    /// Tasks under suspicion; at most one that may crash its worker at the start, unless they are a gang.
     suspects: Vec<u32>,
     /// Other tasks.
     unsuspected: Vec<u32>,
@@ -94,7 +94,7 @@
 }
 
 impl PendingTasks {
-    /// Selects the tasks; `admits_suspects` is whether one under suspicion may start now.
+    /// Selects the tasks; `admits_suspects` is whether one that may crash its worker at the start may start now.
     fn new(step: &Step, step_spec: &StepSpec, admits_suspects: bool) -> Self {
         let unplaced = (0u32..).zip(&step.tasks).filter(|(_, t)| !t.done && t.placement.is_none());
         let (suspects, unsuspected): (Vec<_>, Vec<_>) =
@@ -102,17 +102,19 @@
         let indexes = |tasks: Vec<(u32, &Task)>| tasks.into_iter().map(|(index, _)| index).collect();
         let mut pending =
             Self { suspects: indexes(suspects), unsuspected: indexes(unsuspected), on_hold: false };
-        if pending.suspects.is_empty() {
-            return pending;
-        }
-        if !admits_suspects && step_spec.gang {
+        let is_limited = |index: &u32| step.tasks[*index as usize].losses.may_crash_at_start();
+        let limited = pending.suspects.iter().filter(|index| is_limited(index)).count();
+        let admitted = if admits_suspects && step_spec.gang { limited } else { usize::from(admits_suspects) };
+        pending.on_hold = limited > admitted;
+        if pending.on_hold && step_spec.gang {
             return Self { on_hold: true, ..Self::default() };
         }
-        if !step_spec.gang {
-            let admitted = usize::from(admits_suspects);
-            pending.on_hold = pending.suspects.len() > admitted;
-            pending.suspects.truncate(admitted);
-        }
+        let mut left = admitted;
+        pending.suspects.retain(|index| {
+            let keep = !is_limited(index) || left > 0;
+            left -= usize::from(keep && is_limited(index));
+            keep
+        });
         pending
     }
 
