--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -604,14 +604,15 @@
         try:
             await asyncio.wait_for(case(cell), limit)
             code = 1 if cell.broken else 0
-        except (Broken, asyncio.TimeoutError) as error:
-            cell.record("NOT RUN:", error or "time is up")
+        except Exception as error:
+            cell.record("NOT RUN:", type(error).__name__, error)
         finally:
             cell.stop()
             cell.record("RESULT", {0: "held", 1: "broken", 2: "not run"}[code])
             cell.file.close()
         return code
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = asyncio.run(run())
     with open(os.path.join(folder, "record.txt"), encoding="utf-8") as file:
         lines = file.read().splitlines()
