Keep the runs of a draining worker until its lease has run out

What callers saw: a task ran twice at the same time for up to a second (TWICE). Cause: a worker that drained, did not answer and was missing from the registry counted as having left, whatever was left of its lease. The registry also drops the entry of a worker that is only unreachable, 4.5 s after its last heartbeat; a lease extended just before the cut lasts longer than that. Change: one check decides when runs are over: the worker has left, or its lease has expired. The registry tells an entry that its worker removed from one that may have expired, by the age of the last heartbeat.

--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -88,7 +88,7 @@
         for change in changes {
             let event = match change {
                 RegistryChange::Listed(entry) => Event::Worker(entry),
-                RegistryChange::Unlisted(id) => Event::WorkerUnlisted(id),
+                RegistryChange::Unlisted(id, reason) => Event::WorkerUnlisted(id, reason),
             };
             self.owner_event(now, epoch, event);
         }
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -99,6 +99,24 @@
     pub remaining: Option<Duration>,
 }
 
+/// Why the registry no longer lists a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unlisting {
+    /// The worker removed its own entry, after all its runs had ended.
+    Deregistered,
+    /// The entry has expired or is invalid, or the reason is unknown; the worker may still be active.
+    Unexplained,
+}
+
+impl fmt::Display for Unlisting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Deregistered => "deregistered",
+            Self::Unexplained => "unexplained",
+        })
+    }
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndKind {
@@ -214,7 +232,7 @@
     /// Registry entry that is new or has changed.
     Worker(WorkerEntry),
     /// The registry does not list the worker of this id any more.
-    WorkerUnlisted(Arc<str>),
+    WorkerUnlisted(Arc<str>, Unlisting),
     /// The store has acknowledged the batch in flight.
     Stored,
     /// Answer to [`Action::ExtendLease`].
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -270,7 +270,7 @@
         match event {
             Event::Call(call, request) => self.on_call(now, wall, call, request),
             Event::Worker(entry) => self.on_worker(now, entry),
-            Event::WorkerUnlisted(id) => self.on_worker_unlisted(now, &id),
+            Event::WorkerUnlisted(id, reason) => self.on_worker_unlisted(now, &id, reason),
             Event::Stored => self.on_stored(now),
             Event::LeaseAnswered(incarnation, Ok(report)) => self.on_report(now, &incarnation, &report),
             Event::LeaseAnswered(incarnation, Err(error)) => self.on_lease_error(now, &incarnation, error),
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -7,7 +7,7 @@
 use crate::shard::job::Phase;
 use crate::shard::lease::MAX_UNCONFIRMED_AGE;
 use crate::shard::loss::WorkerFate;
-use crate::shard::message::{Action, WorkerEntry};
+use crate::shard::message::{Action, Unlisting, WorkerEntry};
 use crate::shard::pacing::FULL_SPEED_PERCENT;
 use crate::shard::record::JobState;
 use crate::shard::worker::{LeaseExtension, Worker};
@@ -39,7 +39,7 @@
         let progress_due = self.last_check.as_micros() / PROGRESS_CHECK_INTERVAL.as_micros() as u64
             != now.as_micros() / PROGRESS_CHECK_INTERVAL.as_micros() as u64;
         self.last_check = now;
-        self.expire_leases(now);
+        self.end_lost_workers(now);
         self.extend_leases(now);
         self.retry_stops(now);
         if progress_due {
@@ -88,24 +88,25 @@
         }
     }
 
-    /// Ends the runs of workers whose lease has expired.
-    fn expire_leases(&mut self, now: Timestamp) {
-        let is_expired = |w: &Worker| {
-            now >= w.lease.expiry() && !(w.is_responsive && w.has_reported && w.unlisted_since.is_none())
-        };
+    /// Ends the runs of workers that have left or whose lease has expired.
+    fn end_lost_workers(&mut self, now: Timestamp) {
+        let is_lost = |w: &Worker| w.has_left(now) || w.has_lapsed(now);
         let incarnations: Vec<WorkerIncarnation> =
-            self.workers.iter().filter(|(_, w)| is_expired(w)).map(|(i, _)| i.clone()).collect();
+            self.workers.iter().filter(|(_, w)| is_lost(w)).map(|(i, _)| i.clone()).collect();
         for incarnation in incarnations {
             let Some(worker) = self.workers.get(&incarnation) else { continue };
+            let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
+            if worker.has_left(now) {
+                self.end_incarnation(now, &incarnation, fate, "deregistered after draining");
+                continue;
+            }
             if worker.unlisted_since.is_some() {
-                let reason = "missing from the registry, lease expired";
-                self.end_incarnation(now, &incarnation, WorkerFate::Unknown, reason);
+                self.end_incarnation(now, &incarnation, fate, "missing from the registry, lease expired");
                 continue;
             }
             if !worker.runs.is_empty() {
                 log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", worker.runs.len());
             }
-            let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
             self.lose_runs(now, &incarnation, fate);
         }
     }
@@ -135,21 +136,26 @@
             log::info!(target: "decision", "worker worker={incarnation} outcome=draining remaining={:?}", entry.remaining);
         }
         worker.unlisted_since = None;
+        worker.has_deregistered = false;
         worker.entry = entry;
     }
 
-    pub(super) fn on_worker_unlisted(&mut self, now: Timestamp, id: &str) {
+    /// Records that the registry does not list a worker any more; the next check decides whether its runs are over.
+    pub(super) fn on_worker_unlisted(&mut self, now: Timestamp, id: &str, reason: Unlisting) {
         // The registry may answer before the store takes writes again.
         let reregisters_until = if self.store_up { self.recovered_at } else { now } + REREGISTRATION_TIME;
         let incarnations: Vec<WorkerIncarnation> =
             self.workers.keys().filter(|i| &*i.id == id).cloned().collect();
         for incarnation in incarnations {
             let Some(worker) = self.workers.get_mut(&incarnation) else { continue };
-            let has_left = worker.entry.draining && !worker.is_responsive;
-            log::info!(target: "decision", "worker worker={incarnation} outcome=unlisted draining={}", worker.entry.draining);
-            if has_left && now >= reregisters_until {
-                self.end_incarnation(now, &incarnation, WorkerFate::Left, "deregistered after draining");
-            } else if worker.unlisted_since.is_none() {
+            let lease = worker.lease.expiry().since(now).as_millis();
+            log::info!(
+                target: "decision",
+                "worker worker={incarnation} outcome=unlisted reason={reason} draining={} lease_ms={lease}",
+                worker.entry.draining
+            );
+            worker.has_deregistered |= reason == Unlisting::Deregistered;
+            if worker.unlisted_since.is_none() {
                 worker.unlisted_since = Some(now);
                 worker.reregisters_until = reregisters_until;
             }
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 
 use super::id::{Epoch, StepKey, TaskKey, WorkerIncarnation};
-use super::message::{OrderError, Report, WorkerEntry};
+use super::message::{OrderError, Report, Unlisting, WorkerEntry};
 use super::record::{Entry, Ownership};
 use super::spec::JobSpec;
 
@@ -185,7 +185,7 @@
     /// The entry of a worker is new or has changed.
     Listed(WorkerEntry),
     /// The entry of the worker of this id was removed or is invalid.
-    Unlisted(Arc<str>),
+    Unlisted(Arc<str>, Unlisting),
 }
 
 /// Reader of the registry of workers.
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -84,6 +84,8 @@
     pub unlisted_since: Option<Timestamp>,
     /// Until when an unlisted worker may register again; it counts as listed while it answers.
     pub reregisters_until: Timestamp,
+    /// Whether the worker removed its registry entry itself.
+    pub has_deregistered: bool,
     /// Whether the worker has reported its runs under this owner's epoch.
     pub has_reported: bool,
     /// Whether the worker is responsive, i.e. answered the last call.
@@ -130,6 +132,7 @@
             entry,
             unlisted_since: None,
             reregisters_until: Timestamp::ZERO,
+            has_deregistered: false,
             has_reported: false,
             is_responsive: true,
             silent_since: None,
@@ -262,6 +265,21 @@
         !self.used.fits(self.entry.capacity)
     }
 
+    /// Whether the worker has left: after draining it removed its registry entry, and it no longer answers.
+    #[must_use]
+    pub fn has_left(&self, now: Timestamp) -> bool {
+        self.entry.draining && self.has_deregistered && !self.is_responsive && now >= self.reregisters_until
+    }
+
+    /// Whether the lease of a worker out of contact has expired.
+    ///
+    /// The lease alone decides: the registry entry of an unreachable worker can expire while its runs are active.
+    #[must_use]
+    pub fn has_lapsed(&self, now: Timestamp) -> bool {
+        let in_contact = self.is_responsive && self.has_reported && self.unlisted_since.is_none();
+        !in_contact && now >= self.lease.expiry()
+    }
+
     /// Whether new tasks may be placed on the worker; isolation is checked apart.
     #[must_use]
     pub fn is_usable(&self, now: Timestamp) -> bool {
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -8,7 +8,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yuccahoist::shard::message::{
-    Action, ActiveRun, Answer, CallId, EndKind, EndedRun, Event, OrderError, Report, Request, WorkerEntry,
+    Action, ActiveRun, Answer, CallId, EndKind, EndedRun, Event, OrderError, Report, Request, Unlisting,
+    WorkerEntry,
 };
 use yuccahoist::shard::owner::{Counters, StoredRecords};
 use yuccahoist::shard::record::{Entry, JobState, Ownership, Record};
@@ -396,13 +397,34 @@
         if delay == 0 { self.deliver(registration) } else { self.deliver_after(delay, registration) }
     }
 
-    /// Removes the registry entry of a worker.
+    /// Removes the registry entry of a worker, as the registry does after a time without heartbeats.
     pub fn unlist(&mut self, number: usize) {
         if let Some(incarnation) = self.workers.keys().nth(number) {
-            self.handle_event(Event::WorkerUnlisted(incarnation.id.clone()));
+            self.handle_event(Event::WorkerUnlisted(incarnation.id.clone(), Unlisting::Unexplained));
         }
     }
 
+    /// Removes the registry entry of a worker, as the worker itself does when it leaves.
+    pub fn deregister(&mut self, number: usize) {
+        if let Some(incarnation) = self.workers.keys().nth(number) {
+            self.handle_event(Event::WorkerUnlisted(incarnation.id.clone(), Unlisting::Deregistered));
+        }
+    }
+
+    /// Changes whether a worker drains, and registers it.
+    pub fn set_draining(&mut self, number: usize, draining: bool) {
+        if let Some(worker) = self.workers.values_mut().nth(number) {
+            worker.entry.draining = draining;
+        }
+        self.register(number);
+    }
+
+    /// Returns the number of runs on a worker.
+    pub fn running_on(&self, number: usize) -> u32 {
+        let runs = self.workers.values().nth(number).map_or(0, |w| w.runs.len());
+        u32::try_from(runs).expect("few runs")
+    }
+
     /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs.
     pub fn restart_worker(&mut self, number: usize) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
@@ -419,7 +441,7 @@
         let Some((incarnation, previous)) = self.workers.iter().nth(number) else { return };
         let (incarnation, address) = (incarnation.clone(), previous.entry.address.clone());
         self.workers.remove(&incarnation);
-        self.handle_event(Event::WorkerUnlisted(incarnation.id.clone()));
+        self.handle_event(Event::WorkerUnlisted(incarnation.id.clone(), Unlisting::Unexplained));
         let id: u32 = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
         let mut worker = Worker::new(id + 100, incarnation.started_at + 1);
         worker.entry.address = address;
--- /dev/null
+++ b/yuccahoist/tests/shard/leases.rs
@@ -0,0 +1,81 @@
+//! When the runs of a worker count as over, so that their tasks may start elsewhere. The cluster fails a test in which two
+//! runs of a task overlap.
+
+use yuccahoist::shard::JobKey;
+use yuccahoist::shard::record::JobState;
+
+use super::cluster::{SimulatedCluster, spec};
+
+/// Duration of the tasks, milliseconds; longer than a lease.
+const TASK_MS: u64 = 20_000;
+/// Time within which the tasks of a worker that was lost start elsewhere: its lease, and a write and a call, milliseconds.
+const RESTART_MS: u64 = 5_000;
+
+/// A draining worker that was cut off counted as having left as soon as its registry entry had expired, so its tasks were
+/// started elsewhere before its lease had run out.
+#[test]
+fn cut_off_draining_worker_keeps_its_runs_until_its_lease_expires() {
+    struct Case {
+        name: &'static str,
+        is_draining: bool,
+        /// Whether the worker still receives calls.
+        one_way: bool,
+        /// Time from the cut to the expiry of the registry entry, milliseconds.
+        unlisted_after: u64,
+    }
+    let base = Case { name: "", is_draining: true, one_way: false, unlisted_after: 3_100 };
+    let cases = [
+        Case { name: "entry expires before the lease", ..base },
+        Case { name: "entry expires once the worker is silent", unlisted_after: 700, ..base },
+        Case { name: "entry expires before the worker is silent", unlisted_after: 50, ..base },
+        Case { name: "only its answers are lost", one_way: true, ..base },
+        Case { name: "not draining", is_draining: false, ..base },
+    ];
+    for case in cases {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(100);
+        cluster.submit(1, spec(2, TASK_MS));
+        cluster.advance(1_000);
+        let worker = cluster.workers_of(1)[0];
+        let runs = cluster.running_on(worker);
+        cluster.set_draining(worker, case.is_draining);
+        cluster.advance(1_000);
+        cluster.disconnect(worker, 60_000, case.one_way);
+        cluster.advance(case.unlisted_after);
+        cluster.unlist(worker);
+        cluster.advance(RESTART_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 2 + runs, "{}: tasks did not restart", case.name);
+        cluster.advance(TASK_MS);
+        assert_eq!(cluster.query_state(1), Some(JobState::Completed), "{}", case.name);
+    }
+}
+
+/// The tasks of a worker that has left are not to wait for its lease.
+#[test]
+fn tasks_of_a_worker_that_has_left_start_elsewhere_at_once() {
+    struct Case {
+        name: &'static str,
+        /// Time from the worker's end to the removal of its registry entry, milliseconds.
+        removed_after: u64,
+    }
+    let cases = [
+        Case { name: "entry is removed before a call fails", removed_after: 0 },
+        Case { name: "entry is removed after a call has failed", removed_after: 1_700 },
+    ];
+    for case in cases {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(100);
+        cluster.submit(1, spec(2, TASK_MS));
+        cluster.advance(1_000);
+        let worker = cluster.workers_of(1)[0];
+        let runs = cluster.running_on(worker);
+        cluster.set_draining(worker, true);
+        cluster.advance(2_000);
+        cluster.crash_worker(worker, 60_000);
+        cluster.advance(case.removed_after);
+        cluster.deregister(worker);
+        // A call to the worker may be under way, which takes up to 1.6 s to fail.
+        cluster.advance(1_800);
+        assert_eq!(cluster.starts[&JobKey(1)], 2 + runs, "{}", case.name);
+    }
+}
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -12,6 +12,7 @@
 mod interference;
 mod isolation;
 mod learning;
+mod leases;
 mod neighbours;
 mod owner;
 mod records;
