Let a new owner wait for the lease that its predecessor extended

What callers could see: a task that runs twice (TWICE) when a worker disappears within 0.3 s of its first report to a new owner. Cause: the first report ended the inherited lease. It fences earlier owners, so they can't extend the lease any more, but what they have extended lasts. Evidence: the new test failed before with "runs on w0@1 and starts as run 2 on w1@1". Change: the first report limits the inherited lease to one extension; room for new runs follows from the lease that the owner extended itself, a value of its own. Result: the test passes at each 5 ms of the first 300 ms, with the store up and down.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -16,6 +16,16 @@
 /// platform allows, because the tasks of a dead worker start elsewhere only after its lease.
 pub const DEFAULT_LEASE: Duration = Duration::from_millis(4_000);
 
+/// Returns how long a run may stay active after an extension by `lease`, on the owner's clock.
+///
+/// An owner extends a lease from the last reading of the worker's clock. The reading may be as old as the last confirmed
+/// write, and the worker's clock may have been slow since then.
+#[must_use]
+pub fn max_grant(lease: Duration) -> Duration {
+    let drift = MAX_UNCONFIRMED_AGE.mul_f64(1.0 - MIN_CLOCK_RATE);
+    (lease + drift).div_f64(MIN_CLOCK_RATE)
+}
+
 /// Clock and lease of a worker as the owner knows them.
 #[derive(Debug, Clone, Copy)]
 pub struct Lease {
@@ -23,7 +33,7 @@
     clock_sample: Option<(Timestamp, u64)>,
     /// Highest deadline that this owner sent, milliseconds on the worker's clock.
     deadline: Option<u64>,
-    /// Until when orders of previous owners may have extended the lease.
+    /// Until when runs may be active by extensions of previous owners.
     inherited_until: Timestamp,
 }
 
@@ -57,18 +67,22 @@
         self.deadline
     }
 
+    /// Returns the latest time at which the lease as this owner extended it ends; `None` before its first extension.
+    #[must_use]
+    pub fn granted_until(&self) -> Option<Timestamp> {
+        let ((at, clock), deadline) = self.clock_sample.zip(self.deadline)?;
+        Some(at + Duration::from_millis(deadline.saturating_sub(clock)).div_f64(MIN_CLOCK_RATE))
+    }
+
     /// Returns the time after which no run that the owner knows of can still be active on the worker.
     #[must_use]
     pub fn expiry(&self) -> Timestamp {
-        let (Some((at, clock)), Some(deadline)) = (self.clock_sample, self.deadline) else {
-            return self.inherited_until;
-        };
-        let remaining = Duration::from_millis(deadline.saturating_sub(clock)).div_f64(MIN_CLOCK_RATE);
-        (at + remaining).max(self.inherited_until)
+        self.granted_until().unwrap_or(Timestamp::ZERO).max(self.inherited_until)
     }
 
-    /// Ends the inherited lease: the worker listed its runs under this owner's epoch, which fences previous owners.
-    pub fn end_inherited(&mut self) {
-        self.inherited_until = Timestamp::ZERO;
+    /// Limits the inherited lease to an extension by `duration` at `now`: the worker reported under this owner's epoch, which
+    /// fences previous owners from then on.
+    pub fn fence_inherited(&mut self, now: Timestamp, duration: Duration) {
+        self.inherited_until = self.inherited_until.min(now + max_grant(duration));
     }
 }
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -8,7 +8,7 @@
 use crate::shard::id::{JobKey, WorkerIncarnation};
 use crate::shard::job::{Job, Phase, Placement, Task};
 use crate::shard::learning::Learning;
-use crate::shard::lease::{MAX_UNCONFIRMED_AGE, MIN_CLOCK_RATE};
+use crate::shard::lease::{MAX_UNCONFIRMED_AGE, max_grant};
 use crate::shard::loss::Losses;
 use crate::shard::message::WorkerEntry;
 use crate::shard::ready::ReadySteps;
@@ -114,7 +114,7 @@
 
     /// Returns the time until which a previous owner may have extended a worker's lease.
     pub(super) fn inherited_expiry(&self, now: Timestamp) -> Timestamp {
-        now + MAX_UNCONFIRMED_AGE + self.options.lease.div_f64(MIN_CLOCK_RATE)
+        now + MAX_UNCONFIRMED_AGE + max_grant(self.options.lease)
     }
 
     fn restore_job(
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -95,7 +95,7 @@
         worker.lease.observe(now, report.clock);
         if !worker.has_reported {
             worker.has_reported = true;
-            worker.lease.end_inherited();
+            worker.lease.fence_inherited(now, self.options.lease);
             self.pass_due = true;
         }
         if !worker.is_responsive {
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -287,7 +287,7 @@
             && self.has_reported
             && self.is_responsive
             && !self.entry.draining
-            && now + MIN_START_LEASE < self.lease.expiry()
+            && self.lease.granted_until().is_some_and(|until| now + MIN_START_LEASE < until)
     }
 }
 
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -216,10 +216,15 @@
         "a previous owner's lease does not count until the worker has reported"
     );
     lease.observe(at(100), 50_000);
-    lease.end_inherited();
+    lease.fence_inherited(at(100), ms(4_000));
+    assert_eq!(lease.granted_until(), None, "granted before the first extension");
+    let inherited = lease.expiry().since(at(100));
+    assert!(inherited >= ms(4_081), "{inherited:?} is too short for a predecessor's extension");
     assert_eq!(lease.extend(at(200), ms(4_000)), Some(54_100));
-    let expiry = lease.expiry().since(at(100));
-    assert!(expiry >= ms(4_183), "{expiry:?} is too short for a clock that is 2 % slow");
+    for expiry in [lease.granted_until(), Some(lease.expiry())] {
+        let expiry = expiry.expect("extended before").since(at(100));
+        assert!(expiry >= ms(4_183), "{expiry:?} is too short for a clock that is 2 % slow");
+    }
     assert_eq!(lease.extend(at(150), ms(1_000)), Some(54_100), "a later extension shortened the lease");
 }
 
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -10,6 +10,8 @@
 const TASK_MS: u64 = 20_000;
 /// Time within which the tasks of a worker that was lost start elsewhere: its lease, and a write and a call, milliseconds.
 const RESTART_MS: u64 = 5_000;
+/// The same after a takeover, when the predecessor may have extended the lease for 6 s more, milliseconds.
+const TAKEOVER_RESTART_MS: u64 = 11_000;
 
 /// A draining worker that was cut off counted as having left as soon as its registry entry had expired, so its tasks were
 /// started elsewhere before its lease had run out.
@@ -79,3 +81,45 @@
         assert_eq!(cluster.starts[&JobKey(1)], 2 + runs, "{}", case.name);
     }
 }
+
+/// Between the first report of a worker and its own first extension, a new owner held the lease of the worker for expired,
+/// so the runs of one that disappeared just then were started elsewhere at once.
+#[test]
+fn new_owner_waits_for_the_lease_that_its_predecessor_extended() {
+    struct Case {
+        name: &'static str,
+        is_draining: bool,
+        /// Whether the store takes no writes from the takeover until the worker disappears.
+        store_down: bool,
+    }
+    let cases = [
+        Case { name: "ready", is_draining: false, store_down: false },
+        Case { name: "draining", is_draining: true, store_down: false },
+        Case { name: "store down", is_draining: false, store_down: true },
+    ];
+    for case in cases {
+        for disappears_after in (5..300).step_by(5) {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(100);
+            cluster.submit(1, spec(2, TASK_MS));
+            cluster.advance(1_000);
+            let worker = cluster.workers_of(1)[0];
+            let runs = cluster.running_on(worker);
+            cluster.set_draining(worker, case.is_draining);
+            // An end that its worker could not report delays the first extension by the new owner.
+            cluster.submit(2, spec(4, 500));
+            cluster.advance(400);
+            (0..3).for_each(|number| cluster.disconnect(number, 200, true));
+            cluster.advance(220);
+            cluster.take_over(true);
+            cluster.store_up = !case.store_down;
+            cluster.advance(disappears_after);
+            cluster.store_up = true;
+            cluster.unlist(worker);
+            cluster.disconnect(worker, 60_000, false);
+            cluster.advance(TAKEOVER_RESTART_MS);
+            let starts = cluster.starts[&JobKey(1)];
+            assert_eq!(starts, 2 + runs, "{}, after {disappears_after} ms: tasks did not restart", case.name);
+        }
+    }
+}
