Compute the plan of a job once, in time linear in its steps

What callers saw: after one submission of 3,000 steps no host answered any more, nor for jobs accepted before (LOST, Fault). Cause: each step was ranked with the critical paths of all steps, which compare all pairs of steps: the number of steps to the third power. The call was then sent to each next owner. Change: critical paths, dependents, work and objective are computed once for each job. The end of a step ranks only the steps that depend on it. First requests for recommendations, ends of gangs and the check for stalled gangs don't go over all steps or members for each one.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::id::{TaskKey, WorkerIncarnation};
 use super::learning::DoneTask;
 use super::loss::Losses;
+use super::plan::Plan;
 use super::record::{DisplacedRun, JobState, Progress, TaskLoss, TaskProgress};
 use super::spec::{JobSpec, StepSpec};
 use crate::unit::Timestamp;
@@ -138,6 +138,8 @@
 pub struct Job {
     /// Specification as submitted.
     pub spec: Arc<JobSpec>,
+    /// Durations, work and dependencies of the steps.
+    pub plan: Plan,
     /// Current state; the store may not have it yet.
     pub state: JobState,
     /// State that callers see; a final state becomes visible only once it is stored.
@@ -168,6 +170,7 @@
     #[must_use]
     pub fn new(spec: Arc<JobSpec>, now: Timestamp, wall: u64) -> Self {
         Self {
+            plan: Plan::new(&spec),
             spec,
             state: JobState::Queued,
             visible_state: JobState::Queued,
@@ -210,20 +213,6 @@
         self.spec.steps[number as usize].after.iter().all(|a| steps[*a as usize].complete())
     }
 
-    /// Returns the estimated duration of the critical path that begins with step `number`.
-    #[must_use]
-    pub fn critical_path(&self, number: u32) -> Duration {
-        let steps = &self.spec.steps;
-        let mut critical_paths = vec![Duration::ZERO; steps.len()];
-        for i in (0..steps.len()).rev() {
-            let dependents =
-                (i + 1..steps.len()).filter(|j| steps[*j].after.iter().any(|a| *a as usize == i));
-            let longest = dependents.map(|j| critical_paths[j]).max().unwrap_or_default();
-            critical_paths[i] = steps[i].estimate.saturating_add(longest);
-        }
-        critical_paths[number as usize]
-    }
-
     /// Returns the progress as it is stored; without tasks once the job is final and has no current run.
     #[must_use]
     pub fn progress(&self) -> Progress {
--- a/yuccahoist/src/shard/mod.rs
+++ b/yuccahoist/src/shard/mod.rs
@@ -23,6 +23,7 @@
 pub mod owner;
 pub mod pacing;
 pub mod packing;
+pub mod plan;
 pub mod ports;
 pub mod ready;
 pub mod record;
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -377,9 +377,9 @@
         let job = self.jobs.get(&key.job)?;
         Some(Urgency {
             arrival: *job.due.get(key.occurrence as usize)?,
-            objective: job.spec.objective(),
-            critical_path: self.shortest_duration(&job.spec.queue.name, job.critical_path(key.step)),
-            work: job.spec.work(),
+            objective: job.plan.objective,
+            critical_path: self.shortest_duration(&job.spec.queue.name, job.plan.critical_path(key.step)),
+            work: job.plan.work,
             is_urgent: job.spec.queue.priority == HIGHEST_PRIORITY,
             is_excess: job.is_excess,
         })
@@ -387,9 +387,14 @@
 
     /// Updates the ranks of all steps of a job.
     fn rerank_job(&mut self, now: Timestamp, key: JobKey) {
+        self.rerank_occurrences(now, key, 0);
+    }
+
+    /// Updates the ranks of the steps of a job from occurrence `first` on.
+    fn rerank_occurrences(&mut self, now: Timestamp, key: JobKey, first: u32) {
         let Some(job) = self.jobs.get(&key) else { return };
         let mut steps = Vec::new();
-        for (occurrence, states) in (0u32..).zip(&job.occurrences) {
+        for (occurrence, states) in (0u32..).zip(&job.occurrences).skip(first as usize) {
             steps.extend((0u32..).zip(states).map(|(step, _)| StepKey { job: key, occurrence, step }));
         }
         for step in steps {
@@ -397,6 +402,15 @@
         }
     }
 
+    /// Updates the ranks of a step that is complete and of the steps that depend on it.
+    fn rerank_dependents(&mut self, now: Timestamp, key: StepKey) {
+        self.rerank_step(now, key);
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        for step in job.plan.dependents(key.step).to_vec() {
+            self.rerank_step(now, StepKey { step, ..key });
+        }
+    }
+
     /// Adjusts the number of jobs of a queue that have not begun.
     fn adjust_queued_jobs(&mut self, queue: &str, delta: i64) {
         let count = self.queued_jobs.entry(queue.to_owned()).or_default();
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -121,7 +121,6 @@
         self.batch.jobs.insert(key);
         self.batch.progress.insert(key);
         self.batch.effects.push(Effect::Reply(call, key, Answer::Accepted));
-        self.rerank_job(now, key);
     }
 
     /// Returns the load ahead of a new job, for admission.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -183,11 +183,12 @@
                 };
                 let stall_age = MIN_STALL_AGE.max(step_spec.estimate / 4);
                 let running =
-                    if step_spec.gang { step.tasks.iter().all(is_steady) } else { is_steady(task_state) };
+                    || if step_spec.gang { step.tasks.iter().all(is_steady) } else { is_steady(task_state) };
                 let throttled = step_spec.is_filler && worker.filler_speed() < FULL_SPEED_PERCENT;
                 // Without a later report the task may have advanced.
                 let no_progress = !throttled && worker.last_report > placement.last_progress + stall_age;
-                if !step_spec.long_running && running && placement.percent < 100 && no_progress {
+                // The members of a gang are looked at last, since there may be many.
+                if !step_spec.long_running && placement.percent < 100 && no_progress && running() {
                     stalled.push((*task, placement.incarnation.clone()));
                 }
             }
@@ -221,7 +222,7 @@
     /// Begins the occurrences of a job that are due; `wall` is in milliseconds since the Unix epoch.
     pub(super) fn begin_occurrences(&mut self, now: Timestamp, wall: u64, key: JobKey) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
-        let mut begun = false;
+        let begun = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
         while !job.state.is_final() && (job.occurrences.len() as u64) < u64::from(job.count()) {
             let number = job.occurrences.len() as u64;
             let due = match job.spec.repeat {
@@ -235,10 +236,9 @@
                 }
             };
             job.add_occurrence(due);
-            begun = true;
         }
-        if begun && job.state != JobState::Cancelled {
-            self.rerank_job(now, key);
+        if job.state != JobState::Cancelled {
+            self.rerank_occurrences(now, key, begun);
         }
     }
 }
--- a/yuccahoist/src/shard/owner/observe.rs
+++ b/yuccahoist/src/shard/owner/observe.rs
@@ -257,7 +257,8 @@
             return Goal::default();
         }
         let own = job.spec.steps[key.step as usize].estimate;
-        let later = self.corrected(&job.spec.queue.name, job.critical_path(key.step).saturating_sub(own));
+        let later =
+            self.corrected(&job.spec.queue.name, job.plan.critical_path(key.step).saturating_sub(own));
         Goal { time_left: Some(urgency.time_left(now, later)) }
     }
 }
--- a/yuccahoist/src/shard/owner/recommendations.rs
+++ b/yuccahoist/src/shard/owner/recommendations.rs
@@ -153,7 +153,9 @@
             return;
         };
         let tickets = &job.occurrences[key.occurrence as usize][key.step as usize].tickets;
-        if tickets.pending || !tickets.requested.is_empty() || !self.has_cap_room(key) {
+        // A pass requests the tickets once there is room among the pending requests.
+        let is_full = self.pending_requests.len() >= MAX_PENDING_REQUESTS;
+        if tickets.pending || !tickets.requested.is_empty() || is_full || !self.has_cap_room(key) {
             return;
         }
         let step_spec = &job.spec.steps[key.step as usize];
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -270,7 +270,10 @@
             EndKind::Done => {
                 self.counters.done += 1;
                 if step_spec.gang {
-                    (0..step_spec.tasks).for_each(|index| step.mark_done(index));
+                    // The end of the first member stands for all.
+                    if !step.complete() {
+                        (0..step_spec.tasks).for_each(|index| step.mark_done(index));
+                    }
                 } else {
                     step.mark_done(task.index);
                 }
@@ -298,7 +301,7 @@
             if job.complete() {
                 return self.finish_job(now, key.job, JobState::Completed);
             }
-            self.rerank_job(now, key.job);
+            self.rerank_dependents(now, key);
         } else {
             self.stop_gang(key);
             self.rerank_step(now, key);
--- /dev/null
+++ b/yuccahoist/tests/shard/large_jobs.rs
@@ -0,0 +1,129 @@
+//! Jobs with as many steps or tasks as a submission can hold: one must not occupy the owner.
+
+use std::sync::mpsc;
+use std::time::Duration;
+
+use yuccahoist::shard::message::Answer;
+use yuccahoist::shard::record::JobState;
+use yuccahoist::shard::spec::{JobSpec, Repeat, StepSpec};
+use yuccahoist::unit::Resources;
+
+use super::cluster::{SimulatedCluster, WORKER_CAPACITY, spec};
+
+/// Real time after which a case counts as hanging; the platform asks for jobs 14 s after the end of the traffic.
+const MAX_CASE_TIME: Duration = Duration::from_secs(14);
+/// Steps or tasks of the large jobs; the bench `large_job` has the slopes up to the largest submission.
+const STEPS: u32 = 3_000;
+
+/// Returns a job of `count` steps of one small task, each depending on the steps that `after` returns for its number.
+fn stepped(count: u32, after: impl Fn(u32) -> Vec<u32>) -> JobSpec {
+    let step = |number: u32| StepSpec {
+        tasks: 1,
+        resources: Resources::new(1, 1, 0),
+        estimate: Duration::from_millis(100),
+        after: after(number),
+        ..StepSpec::default()
+    };
+    JobSpec { steps: (0..count).map(step).collect(), ..spec(1, 100) }
+}
+
+/// Returns a job of one step of `tasks` small tasks.
+fn wide(tasks: u32) -> JobSpec {
+    let mut job = stepped(1, |_| Vec::new());
+    job.steps[0].tasks = tasks;
+    job
+}
+
+/// One submission with thousands of steps occupied the processor of the owner for minutes, and then that of each successor
+/// to which it was sent.
+#[test]
+fn large_submission_does_not_occupy_the_owner() {
+    struct Case {
+        name: &'static str,
+        job: fn() -> JobSpec,
+        with_recommendation: bool,
+    }
+    let base = Case { name: "", job: || wide(1), with_recommendation: false };
+    let cases = [
+        Case { name: "many steps", job: || stepped(STEPS, |_| Vec::new()), ..base },
+        Case {
+            name: "steps with recommendations",
+            job: || stepped(STEPS, |_| Vec::new()),
+            with_recommendation: true,
+        },
+        Case { name: "chain", job: || stepped(STEPS, |n| n.checked_sub(1).into_iter().collect()), ..base },
+        Case {
+            name: "last step waits for all",
+            job: || stepped(STEPS, |n| if n == STEPS - 1 { (0..n).collect() } else { Vec::new() }),
+            ..base
+        },
+        Case {
+            name: "step that waits for the same step again and again",
+            job: || stepped(STEPS, |n| if n == STEPS - 1 { vec![0; 60_000] } else { Vec::new() }),
+            ..base
+        },
+        Case { name: "many tasks", job: || wide(STEPS), ..base },
+        Case {
+            name: "many tasks with a limit for each worker",
+            job: || {
+                let mut job = wide(STEPS);
+                job.steps[0].max_per_worker = Some(1);
+                job
+            },
+            ..base
+        },
+        Case {
+            name: "large gang",
+            job: || {
+                let mut job = wide(1_000);
+                job.steps[0].gang = true;
+                job
+            },
+            ..base
+        },
+        Case {
+            name: "gang larger than the fleet",
+            job: || {
+                let mut job = wide(STEPS);
+                (job.steps[0].gang, job.steps[0].resources) = (true, WORKER_CAPACITY);
+                job
+            },
+            ..base
+        },
+        Case {
+            name: "many occurrences at once",
+            job: || JobSpec {
+                repeat: Some(Repeat { count: STEPS, start: 0, interval: 0 }),
+                ..stepped(1, |_| Vec::new())
+            },
+            ..base
+        },
+    ];
+    for case in cases {
+        let job = (case.job)();
+        let job = if case.with_recommendation { SimulatedCluster::with_recommendation(job) } else { job };
+        let (sender, finished) = mpsc::channel();
+        let play = std::thread::spawn(move || {
+            let mut cluster = SimulatedCluster::new(1, 8);
+            cluster.advance(100);
+            cluster.submit(1, job);
+            cluster.advance(100);
+            let answer = cluster.answers.get(&1).cloned();
+            cluster.submit(2, spec(1, 100));
+            cluster.advance(3_000);
+            let states = [cluster.query_state(2)];
+            cluster.take_over(true);
+            cluster.submit(3, spec(1, 100));
+            cluster.advance(1_500);
+            sender.send((answer, states[0], cluster.query_state(3))).expect("the test waits");
+        });
+        let result = finished.recv_timeout(MAX_CASE_TIME);
+        if let Err(mpsc::RecvTimeoutError::Disconnected) = result {
+            play.join().unwrap_or_else(|_| panic!("{}: the play failed", case.name));
+        }
+        let (answer, before, after) = result.unwrap_or_else(|_| panic!("{}: the owner hangs", case.name));
+        assert_eq!(answer, Some(Answer::Accepted), "{}", case.name);
+        assert_eq!(before, Some(JobState::Completed), "{}: another job", case.name);
+        assert_eq!(after, Some(JobState::Completed), "{}: another job after a takeover", case.name);
+    }
+}
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod interference;
 mod isolation;
+mod large_jobs;
 mod learning;
 mod leases;
 mod neighbours;
