Count a waiting job once in the backlog

What callers saw: after a job of many steps every other job was refused with 429, on a fleet that could do its work in seconds; and the submission of each took up to 1.5 s of the owner. Cause: the backlog added the work of the whole job for each of its waiting steps. Evidence: the new test failed before with "backlog of 20 s: Some(Refused { cause: Overload, retry: 4s })". Change: each waiting job counts once.

--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -129,20 +129,31 @@
             self.workers.values().filter(|w| w.unlisted_since.is_none() || now < w.reregisters_until);
         let (capacities, used): (Vec<Resources>, Vec<u64>) =
             listed.map(|w| (w.entry.capacity, w.used.cpu.0)).unzip();
-        let cpu_used = used.into_iter().sum();
-        let cpu_capacity = capacities.iter().map(|c| c.cpu.0).sum();
+        let cpu_used = used.into_iter().fold(0, u64::saturating_add);
+        let cpu_capacity = capacities.iter().map(|c| c.cpu.0).fold(0, u64::saturating_add);
         let largest = capacities.into_iter().fold(Resources::ZERO, Resources::max);
         // A step that fits on no worker delays no other.
         let fits = |s: &StepKey, j: &Job| j.spec.steps[s.step as usize].reserved().fits(largest);
-        let waiting = self.ready.keys().filter_map(|s| self.jobs.get(&s.job).filter(|j| fits(s, j)));
+        let waiting = self.waiting_jobs(fits);
         let waiting =
             waiting.filter(|j| (is_excess || !j.is_excess) && !self.waits_for_other_cap(&j.spec, spec));
-        let backlog_work = waiting.map(|j| j.spec.work()).fold(0, u64::saturating_add);
+        let backlog_work = waiting.map(|j| j.plan.work).fold(0, u64::saturating_add);
         let excess = spec.workspace.as_ref().filter(|_| is_excess).map(|w| self.excess_load(&w.name));
         let load = Load { backlog_work, cpu_capacity, cpu_used, request_backlog: Duration::ZERO, excess };
         Load { request_backlog: self.request_backlog(now, spec, is_excess, load.is_idle()), ..load }
     }
 
+    /// Returns the jobs with a waiting step for which `counts` holds, each once.
+    pub(super) fn waiting_jobs(&self, counts: impl Fn(&StepKey, &Job) -> bool) -> impl Iterator<Item = &Job> {
+        // Steps are ordered by job, so those of one job follow each other.
+        let mut last = None;
+        self.ready.keys().filter_map(move |step| {
+            let job = self.jobs.get(&step.job).filter(|j| last != Some(step.job) && counts(step, j))?;
+            last = Some(step.job);
+            Some(job)
+        })
+    }
+
     fn refusal(&self, load: &Load) -> Option<(Refusal, Duration)> {
         if !self.store_up || self.batch.jobs.len() >= MAX_UNSTORED_JOBS {
             return Some((Refusal::StoreDown, OUTAGE_RETRY_DELAY));
--- a/yuccahoist/src/shard/owner/shares.rs
+++ b/yuccahoist/src/shard/owner/shares.rs
@@ -63,9 +63,9 @@
 
     /// Returns the backlog of a workspace that submits a job beyond its rate.
     pub(super) fn excess_load(&self, name: &WorkspaceName) -> ExcessLoad {
-        let jobs = self.ready.keys().filter_map(|key| self.jobs.get(&key.job));
-        let own = jobs.filter(|j| j.spec.workspace.as_ref().is_some_and(|w| w.name == *name));
-        let own_work = own.map(|j| j.spec.work()).fold(0, u64::saturating_add);
+        let is_own = |job: &Job| job.spec.workspace.as_ref().is_some_and(|w| w.name == *name);
+        let own = self.waiting_jobs(|_, job| is_own(job));
+        let own_work = own.map(|j| j.plan.work).fold(0, u64::saturating_add);
         ExcessLoad { own_work, refused: self.refusals.get(name).copied().unwrap_or_default() }
     }
 
--- a/yuccahoist/tests/shard/large_jobs.rs
+++ b/yuccahoist/tests/shard/large_jobs.rs
@@ -127,3 +127,33 @@
         assert_eq!(after, Some(JobState::Completed), "{}: another job after a takeover", case.name);
     }
 }
+
+/// The work of a job was counted once for each of its waiting steps, so a job of many steps had all others refused on a fleet
+/// that could do its work in seconds.
+#[test]
+fn work_of_waiting_job_counts_once_in_the_backlog() {
+    struct Case {
+        name: &'static str,
+        steps: u32,
+        is_refused: bool,
+    }
+    // Each step takes up a worker for a second, and the fleet has three.
+    let cases = [
+        Case { name: "backlog of 20 s", steps: 60, is_refused: false },
+        Case { name: "backlog of 100 s", steps: 300, is_refused: true },
+    ];
+    for case in cases {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        let mut job = stepped(case.steps, |_| Vec::new());
+        for step in &mut job.steps {
+            (step.resources, step.estimate) = (WORKER_CAPACITY, Duration::from_secs(1));
+        }
+        cluster.advance(100);
+        cluster.submit(1, job);
+        cluster.advance(100);
+        cluster.submit(2, spec(1, 100));
+        cluster.advance(100);
+        let is_refused = matches!(cluster.answers.get(&2), Some(Answer::Refused { .. }));
+        assert_eq!(is_refused, case.is_refused, "{}: {:?}", case.name, cluster.answers.get(&2));
+    }
+}
