Refuse a job whose records are larger than the store takes

Cause: its record of 330,055 bytes is refused by the store, and the append was repeated for ever. The same held for a progress record that outgrows the limit, and for a batch larger than one append. Evidence: records_of_large_jobs_fit_into_the_store failed before with "a record of 330055 bytes is refused for ever", and fails without the reduction of progress records with "a record of 630580 bytes"; batch_larger_than_an_append_is_split fails without the split. Change: the owner refuses such a job at once with the sizes; a progress record that is too large leaves out what a later owner can do without; batches are split.

--- a/yuccahoist/src/shard/host/appender.rs
+++ b/yuccahoist/src/shard/host/appender.rs
@@ -3,6 +3,9 @@
 //! During an outage a try is swallowed without an error. Waiting for its timeout would keep callers out for as long after
 //! the store is back, so further tries start beside it. All tries of a batch have one sequence number, by which the store
 //! executes only one of them.
+//!
+//! A batch that is larger than the store takes at once goes in several appends. A store that has only the first of them is
+//! consistent: in a batch the specification of a job stands before its progress, and the effects wait for the last append.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +19,7 @@
 use crate::shard::id::Epoch;
 use crate::shard::ports::{Store, StoreError};
 use crate::shard::record::Entry;
+use crate::unit::Bytes;
 
 /// Why a batch was not stored.
 #[derive(Debug)]
@@ -26,6 +30,19 @@
     Abandoned,
 }
 
+/// Length field of a record in an append, bytes.
+const LENGTH_BYTES: u64 = 4;
+
+/// Returns how many of the first entries fit into one append; at least one.
+fn part_length(entries: &[Entry], limit: Bytes) -> usize {
+    let sizes = entries.iter().map(|entry| LENGTH_BYTES + entry.size().0);
+    let sums = sizes.scan(0u64, |sum, size| {
+        *sum = sum.saturating_add(size);
+        Some(*sum)
+    });
+    sums.take_while(|sum| *sum <= limit.0).count().max(1).min(entries.len())
+}
+
 /// Appender of the batches of one epoch.
 #[derive(Debug)]
 pub struct Appender {
@@ -43,7 +60,7 @@
         Self { store, epoch, sequence: claim_sequence, timeouts: WriteTimeouts::default() }
     }
 
-    /// Appends a batch; tries until the store has it, or `is_abandoned` returns true.
+    /// Appends a batch, in as many appends as its size needs; tries until the store has it, or `is_abandoned` returns true.
     ///
     /// # Errors
     ///
@@ -52,6 +69,22 @@
         &mut self,
         entries: &[Entry],
         is_abandoned: impl Fn() -> bool,
+    ) -> Result<(), AppendError> {
+        let mut rest = entries;
+        loop {
+            let (part, later) = rest.split_at(part_length(rest, self.store.max_append()));
+            self.append_part(part, &is_abandoned).await?;
+            if later.is_empty() {
+                return Ok(());
+            }
+            rest = later;
+        }
+    }
+
+    async fn append_part(
+        &mut self,
+        entries: &[Entry],
+        is_abandoned: impl Fn() -> bool,
     ) -> Result<(), AppendError> {
         self.sequence += 1;
         let (epoch, sequence) = (self.epoch, self.sequence);
--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -33,7 +33,7 @@
 use super::request_queue::RequestQueue;
 use super::workspace::WorkspaceTable;
 use crate::clock::Clock;
-use crate::unit::Timestamp;
+use crate::unit::{Bytes, Timestamp};
 
 /// Capacity of the input queue, several seconds of a burst; its senders wait while it is full.
 const INBOX_CAPACITY: usize = 8_192;
@@ -66,6 +66,8 @@
     pub far_factor: f64,
     /// CPU share of the host, in cores; a host with a larger one campaigns earlier.
     pub cpu_share: f64,
+    /// Largest record that the store takes, bytes.
+    pub max_record: Bytes,
 }
 
 /// Status of a host, for its readiness probe and its metrics.
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -52,6 +52,7 @@
         let wall = self.ports.clock.wall().as_millis();
         let options = OwnerOptions::new(won.ownership, self.settings.max_lease)
             .far_factor(self.settings.far_factor)
+            .max_record(self.settings.max_record)
             .workspaces(self.workspaces.clone());
         self.owner = Some(Owner::restore(options, records, now, wall));
         self.appender = Some(self.spawn_appender(epoch, won.sequence));
--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -231,12 +231,14 @@
                     next
                 })
             });
+            // A task that is done is not started again.
+            let kept = Some(task).filter(|t| !t.done);
             TaskProgress {
                 run: task.run,
-                failures: task.failures.clone(),
+                failures: kept.map(|t| t.failures.clone()).unwrap_or_default(),
                 done: task.done,
                 placement,
-                checkpoint: task.checkpoint.clone(),
+                checkpoint: kept.map(|t| t.checkpoint.clone()).unwrap_or_default(),
             }
         };
         let steps = |o: &Vec<Step>| o.iter().map(|s| s.tasks.iter().map(&mut encode).collect()).collect();
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -38,7 +38,7 @@
 use super::spec::HIGHEST_PRIORITY;
 use super::worker::Worker;
 use super::workspace::{WorkspaceName, WorkspaceTable, WorkspaceTerms};
-use crate::unit::Timestamp;
+use crate::unit::{Bytes, Timestamp};
 
 pub use self::recover::StoredRecords;
 pub use self::shares::WorkspaceStatus;
@@ -69,14 +69,25 @@
     pub workspaces: Arc<WorkspaceTable>,
     /// How many times as long a task takes away from the rack of its data; 1 if the platform names no factor.
     pub far_factor: f64,
+    /// Largest record that the store takes, bytes.
+    pub max_record: Bytes,
 }
 
+/// Largest record that a store takes if the platform names no limit, bytes.
+pub const DEFAULT_MAX_RECORD: Bytes = Bytes(256 << 10);
+
 impl OwnerOptions {
     /// Returns options with the default lease duration, capped at the platform's maximum `longest`.
     #[must_use]
     pub fn new(ownership: Ownership, max_lease: Duration) -> Self {
         let lease = super::lease::DEFAULT_LEASE.min(max_lease);
-        Self { ownership, lease, workspaces: Arc::default(), far_factor: 1.0 }
+        Self { ownership, lease, workspaces: Arc::default(), far_factor: 1.0, max_record: DEFAULT_MAX_RECORD }
+    }
+
+    /// Sets the largest record that the store takes, bytes.
+    #[must_use]
+    pub fn max_record(self, max_record: Bytes) -> Self {
+        Self { max_record, ..self }
     }
 
     /// Sets how many times as long a task takes away from the rack of its data; below 1 counts as 1.
--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -10,13 +10,17 @@
 use crate::shard::job::Job;
 use crate::shard::message::Action;
 use crate::shard::message::{Answer, CallId, Refusal, Request};
-use crate::shard::record::JobState;
+use crate::shard::record::{Entry, JobState, Record};
 use crate::shard::spec::JobSpec;
-use crate::unit::{Resources, Timestamp};
+use crate::unit::{Bytes, Resources, Timestamp};
 
 /// Retry delay for refusals that end with a takeover or the recovery of the store; `Retry-After` counts whole seconds.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Part of a progress record that is for the tasks, in quarters; the rest is for the workers that the record names and for
+/// run numbers from 128 on.
+const TASKS_QUARTERS: u64 = 3;
+
 impl Owner {
     pub(super) fn on_call(&mut self, now: Timestamp, wall: u64, call: CallId, request: Request) {
         match request {
@@ -69,7 +73,7 @@
             }
             return;
         }
-        if let Some(error) = spec.validation_error() {
+        if let Some(error) = spec.validation_error().or_else(|| self.size_error(key, &spec)) {
             log::info!(target: "decision", "submit job={key} outcome=invalid reason={error:?}");
             self.reply(call, Answer::Invalid(error));
             return;
@@ -123,6 +127,19 @@
         self.batch.effects.push(Effect::Reply(call, key, Answer::Accepted));
     }
 
+    /// Returns why the store could never take the records of a job; callers get the text.
+    fn size_error(&self, key: JobKey, spec: &Arc<JobSpec>) -> Option<String> {
+        let limit = self.options.max_record;
+        let size = Entry::from(&Record::Job(key, spec.clone())).size();
+        if size > limit {
+            return Some(format!("the job takes {size} in the store, which takes records of {limit}"));
+        }
+        let progress = spec.max_progress_size();
+        let room = Bytes(limit.0 / 4 * TASKS_QUARTERS);
+        (progress > room)
+            .then(|| format!("the tasks can take {progress} in the store, which has room for {room}"))
+    }
+
     /// Returns the load ahead of a new job, for admission.
     fn load(&self, now: Timestamp, spec: &JobSpec, is_excess: bool) -> Load {
         let listed =
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -1,12 +1,32 @@
 //! Encoding of batches, and their effects once they are stored.
 
 use super::{Batch, Effect, Owner};
-use crate::shard::id::TaskKey;
+use crate::shard::id::{JobKey, TaskKey};
 use crate::shard::job::Phase;
 use crate::shard::message::Action;
-use crate::shard::record::{Entry, Record};
+use crate::shard::record::{Entry, Progress, Record};
 use crate::shard::worker::LeaseExtension;
-use crate::unit::Timestamp;
+use crate::unit::{Bytes, Timestamp};
+
+/// Encodes the progress of a job. A record that the store would refuse leaves out what a later owner can do without: the
+/// workers lost under the tasks, then the checkpoints.
+fn progress_entry(key: JobKey, mut progress: Progress, limit: Bytes) -> Entry {
+    let reductions: [(&str, fn(&mut Progress)); 2] =
+        [("losses", |progress| progress.losses.clear()), ("checkpoints", Progress::clear_checkpoints)];
+    let mut entry = Entry::from_progress(key, &progress);
+    for (part, reduce) in reductions {
+        if entry.size() <= limit {
+            break;
+        }
+        log::warn!(target: "decision", "record job={key} bytes={} outcome=reduced part={part}", entry.size().0);
+        reduce(&mut progress);
+        entry = Entry::from_progress(key, &progress);
+    }
+    if entry.size() > limit {
+        log::error!("the progress record of job {key} takes {}, more than the store's limit", entry.size());
+    }
+    entry
+}
 
 impl Owner {
     /// Encodes a batch; if it is empty, the ownership record is written as a heartbeat.
@@ -19,7 +39,7 @@
         }
         for key in &batch.progress {
             let Some(job) = self.jobs.get_mut(key) else { continue };
-            entries.push(Entry::from(&Record::Progress(*key, job.progress())));
+            entries.push(progress_entry(*key, job.progress(), self.options.max_record));
             if job.state.is_final() && job.active_runs == 0 && !job.spec_deleted {
                 job.spec_deleted = true;
                 entries.push(Entry::from(&Record::DeleteSpec(*key)));
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -13,6 +13,7 @@
 use super::message::{OrderError, Report, Unlisting, WorkerEntry};
 use super::record::{Entry, Ownership};
 use super::spec::JobSpec;
+use crate::unit::Bytes;
 
 /// Error of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -77,6 +78,11 @@
     /// Starts `epoch` with an append of `entry` numbered `sequence`, on condition that the log still ends at `end`.
     async fn claim(&self, epoch: Epoch, sequence: u64, end: u64, entry: &Entry) -> Result<(), StoreError>;
 
+    /// Returns the most bytes that the records of one append may take, without limit by default.
+    fn max_append(&self) -> Bytes {
+        Bytes(u64::MAX)
+    }
+
     /// Appends entries in `epoch`; a repeat with the same `sequence` has no further effect.
     ///
     /// Fails with [`StoreError::Silent`] when the store has not answered within `limit`.
--- a/yuccahoist/src/shard/record.rs
+++ b/yuccahoist/src/shard/record.rs
@@ -13,6 +13,7 @@
 use super::loss::Loss;
 use super::spec::JobSpec;
 use super::workspace::Workspace;
+use crate::unit::Bytes;
 
 /// Version of the record layout, the first byte of each value.
 const LAYOUT_VERSION: u8 = 1;
@@ -119,6 +120,14 @@
     pub is_excess: bool,
 }
 
+impl Progress {
+    /// Removes the checkpoints, so that the tasks start anew if they are started again.
+    pub fn clear_checkpoints(&mut self) {
+        let tasks = self.occurrences.iter_mut().flatten().flatten();
+        tasks.for_each(|task| task.checkpoint = String::new());
+    }
+}
+
 /// Stored run that may be active on a silent worker while its task is placed elsewhere.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DisplacedRun {
@@ -272,14 +281,26 @@
         match record {
             Record::Owner(owner) => Self { key: OWNER_KEY.into(), value: Some(encode(owner)) },
             Record::Job(job, spec) => Self { key: format!("j{job}"), value: Some(encode(spec.as_ref())) },
-            Record::Progress(job, progress) => {
-                Self { key: format!("p{job}"), value: Some(encode_progress(progress)) }
-            }
+            Record::Progress(job, progress) => Self::from_progress(*job, progress),
             Record::DeleteSpec(job) => Self { key: format!("j{job}"), value: None },
         }
     }
 }
 
+impl Entry {
+    /// Encodes the progress of a job.
+    #[must_use]
+    pub fn from_progress(job: JobKey, progress: &Progress) -> Self {
+        Self { key: format!("p{job}"), value: Some(encode_progress(progress)) }
+    }
+
+    /// Returns the size of the record as the store counts it: the key with its length byte, and the value.
+    #[must_use]
+    pub fn size(&self) -> Bytes {
+        Bytes((1 + self.key.len() + self.value.as_ref().map_or(0, Vec::len)) as u64)
+    }
+}
+
 impl TryFrom<&Entry> for Record {
     type Error = RecordError;
 
--- a/yuccahoist/src/shard/spec.rs
+++ b/yuccahoist/src/shard/spec.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::workspace::Workspace;
-use crate::unit::Resources;
+use crate::unit::{Bytes, Resources};
 
 /// Duration of a call for a placement recommendation, and validity of its tickets.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -133,9 +133,15 @@
 
 /// Longest estimate of a task; longer ones are taken for mistakes.
 pub const MAX_ESTIMATE: Duration = Duration::from_secs(366 * 24 * 3_600);
-/// Most tasks of one job over all its occurrences; limits the memory that one submission can take up at the owner. A
-/// progress record of this many tasks still fits into the store's largest record.
+/// Most tasks of one job over all its occurrences; limits the memory that one submission can take up at the owner.
 pub const MAX_JOB_TASKS: u64 = 20_000;
+/// Size of a task without failures in the progress record of its job, bytes: a run number below 128, the worker as an index
+/// below 16,384, and the other fields.
+const TASK_PROGRESS_BYTES: u64 = 7;
+/// Size of the number of a failed run there, bytes.
+const FAILURE_BYTES: u64 = 1;
+/// Failures of each task for which the record has room.
+const MAX_RECORDED_FAILURES: u32 = 8;
 
 impl JobSpec {
     /// Returns why the job can never be scheduled, or `None` for a valid job; callers get the text.
@@ -158,14 +164,26 @@
                 return Some(format!("step {index} waits for step {after}, which is not an earlier step"));
             }
         }
-        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.tasks)).sum();
-        let occurrences = u64::from(self.repeat.map_or(1, |r| r.count));
-        if tasks.saturating_mul(occurrences) > MAX_JOB_TASKS {
+        if self.task_count() > MAX_JOB_TASKS {
             return Some(format!("the job has more than {MAX_JOB_TASKS} tasks"));
         }
         None
     }
 
+    /// Returns the size to which the tasks in the progress record of the job can grow, without what the record can do
+    /// without, bytes.
+    #[must_use]
+    pub fn max_progress_size(&self) -> Bytes {
+        let failures = u64::from(self.queue.max_failures.saturating_sub(1).min(MAX_RECORDED_FAILURES));
+        Bytes(self.task_count().saturating_mul(TASK_PROGRESS_BYTES + failures * FAILURE_BYTES))
+    }
+
+    /// Returns the number of tasks over all occurrences.
+    fn task_count(&self) -> u64 {
+        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.tasks)).sum();
+        tasks.saturating_mul(u64::from(self.repeat.map_or(1, |r| r.count)))
+    }
+
     /// Returns the estimated duration of the critical path, the longest chain of dependent steps.
     #[must_use]
     pub fn critical_path(&self) -> Duration {
--- a/yuccahoist/tests/shard/appender.rs
+++ b/yuccahoist/tests/shard/appender.rs
@@ -10,6 +10,7 @@
 use yuccahoist::shard::host::appender::{AppendError, Appender};
 use yuccahoist::shard::ports::{Announcement, Snapshot, Store, StoreError};
 use yuccahoist::shard::record::Entry;
+use yuccahoist::unit::Bytes;
 
 /// What the store does with an append that arrives during its disturbance.
 #[derive(Debug, Clone, Copy)]
@@ -34,13 +35,27 @@
     until: Duration,
     /// Sequence numbers of the appends that arrived, and of those that were executed.
     log: Mutex<(Vec<u64>, Vec<u64>)>,
+    /// Entries of the appends that were executed.
+    stored: Mutex<Vec<Vec<Entry>>>,
 }
 
+/// Most bytes that the store takes in one append.
+const MAX_APPEND: u64 = 1_000;
 const WRITE: Duration = Duration::from_millis(9);
 
 #[async_trait]
 impl Store for DisturbedStore {
-    async fn append(&self, _: Epoch, sequence: u64, _: &[Entry], limit: Duration) -> Result<(), StoreError> {
+    fn max_append(&self) -> Bytes {
+        Bytes(MAX_APPEND)
+    }
+
+    async fn append(
+        &self,
+        _: Epoch,
+        sequence: u64,
+        entries: &[Entry],
+        limit: Duration,
+    ) -> Result<(), StoreError> {
         const STEP: &str = "append";
         let silent = || StoreError::Silent { step: STEP, detail: "timeout".into() };
         self.log.lock().expect("lock is not poisoned").0.push(sequence);
@@ -48,6 +63,7 @@
             let mut log = self.log.lock().expect("lock is not poisoned");
             if log.1.last() != Some(&sequence) {
                 log.1.push(sequence);
+                self.stored.lock().expect("lock is not poisoned").push(entries.to_vec());
             }
         };
         if self.started.elapsed() < self.until {
@@ -95,7 +111,13 @@
 }
 
 fn store(disturbance: Disturbance, until: Duration) -> Arc<DisturbedStore> {
-    Arc::new(DisturbedStore { disturbance, started: Instant::now(), until, log: Mutex::default() })
+    Arc::new(DisturbedStore {
+        disturbance,
+        started: Instant::now(),
+        until,
+        log: Mutex::default(),
+        stored: Mutex::default(),
+    })
 }
 
 /// After a silent outage of 6.5 s, callers were refused for another 0.74 s, until the timeout of a swallowed append.
@@ -162,3 +184,38 @@
     let mut abandoned = Appender::new(store(Disturbance::Silent, minute), Epoch(1), 0);
     assert_matches!(abandoned.append(&[], || true).await, Err(AppendError::Abandoned));
 }
+
+/// A batch of several large records was larger than one append may be. The store refused it for ever, and the owner was stuck.
+#[tokio::test(start_paused = true)]
+async fn batch_larger_than_an_append_is_split() {
+    struct Case {
+        name: &'static str,
+        /// Sizes of the values, bytes.
+        values: Vec<usize>,
+        /// Number of entries in each append.
+        parts: Vec<usize>,
+    }
+    let cases = [
+        Case { name: "empty", values: vec![], parts: vec![0] },
+        Case { name: "fits", values: vec![300, 300], parts: vec![2] },
+        Case { name: "fits exactly", values: vec![488, 488], parts: vec![2] },
+        Case { name: "one byte more", values: vec![488, 489], parts: vec![1, 1] },
+        Case { name: "several", values: vec![400, 400, 400, 900, 10], parts: vec![2, 1, 2] },
+        Case { name: "deletion", values: vec![980, 0], parts: vec![1, 1] },
+    ];
+    for case in cases {
+        // A key of seven bytes takes twelve with its length and that of the record.
+        let value = |length: &usize| (*length > 0).then(|| vec![b'v'; *length]);
+        let entry = |length| Entry { key: "j000000".into(), value: value(length) };
+        let entries: Vec<Entry> = case.values.iter().map(entry).collect();
+        let store = store(Disturbance::LostAnswer, Duration::from_millis(100));
+        let mut appender = Appender::new(store.clone(), Epoch(1), 7);
+        appender.append(&entries, || false).await.expect("the store has seen no higher epoch");
+        let stored = store.stored.lock().expect("lock is not poisoned");
+        let parts: Vec<usize> = stored.iter().map(Vec::len).collect();
+        assert_eq!(parts, case.parts, "{}", case.name);
+        assert_eq!(stored.concat(), entries, "{}: entries out of order or repeated", case.name);
+        let size = |part: &Vec<Entry>| part.iter().map(|e| 4 + e.size().0).sum::<u64>();
+        assert!(stored.iter().all(|part| size(part) <= MAX_APPEND), "{}: an append is too large", case.name);
+    }
+}
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -29,6 +29,8 @@
 const ORDER_TIMEOUT_MS: u64 = 600;
 /// Time that a worker takes to stop a run.
 const STOP_DURATION_MS: u64 = 300;
+/// Largest record that the store takes, bytes; it refuses a larger one for ever.
+const MAX_RECORD_BYTES: usize = 262_144;
 /// Starts of a task after its third crash that break its budget.
 const MAX_STARTS_AFTER_CRASHES: u32 = 3;
 /// Capacity of each worker.
@@ -191,7 +193,7 @@
         self.ended.push(EndedRun { number: self.last_end, task, run, kind, checkpoint: String::new() });
     }
 
-    fn report(&self, now: Timestamp) -> Report {
+    fn report(&self, now: Timestamp, checkpoint_bytes: usize) -> Report {
         // Each filler at full speed adds 40 ms to a tail latency of 60 ms.
         let fillers = self.runs.values().filter(|r| r.is_filler);
         let tail_ms = 60 + fillers.map(|r| r.percent * 40 / 100).sum::<u64>();
@@ -199,7 +201,8 @@
             let load = state.tail_target.map_or(0, |_| tail_ms);
             let duration = state.ends_at.since(state.started).as_millis().max(1);
             let percent = u32::try_from(now.since(state.started).as_millis() * 100 / duration).unwrap_or(100);
-            ActiveRun { task: *task, run: *run, checkpoint: String::new(), percent: percent.min(100), load }
+            let checkpoint = "c".repeat(checkpoint_bytes);
+            ActiveRun { task: *task, run: *run, checkpoint, percent: percent.min(100), load }
         });
         Report {
             started_at: Some(self.entry.incarnation.started_at),
@@ -226,6 +229,8 @@
     pub rng: ChaCha8Rng,
     pub faults: Faults,
     pub deadly: Option<DeadlyTasks>,
+    /// Length of the checkpoints that runs report, bytes.
+    pub checkpoint_bytes: usize,
     /// Image whose runs slow down those of the second one beside them, by this many percent.
     pub disturbs: Option<(String, String, u64)>,
     /// Crashes of workers by the deadly task that caused them, and its starts after the third one.
@@ -279,6 +284,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
             deadly: None,
+            checkpoint_bytes: 0,
             disturbs: None,
             crashes: BTreeMap::new(),
             lost_workers: BTreeMap::new(),
@@ -558,6 +564,9 @@
             }
             Action::Append(entries) => {
                 assert!(self.write.is_none(), "a second write was sent while one is in flight");
+                let lengths = entries.iter().map(|e| 1 + e.key.len() + e.value.as_ref().map_or(0, Vec::len));
+                let largest = lengths.max().unwrap_or(0);
+                assert!(largest <= MAX_RECORD_BYTES, "a record of {largest} bytes is refused for ever");
                 self.write = Some((self.now + Duration::from_millis(WRITE_MS), entries));
             }
             Action::Start { .. } | Action::Stop { .. } if self.rng.random_bool(self.faults.delayed_order) => {
@@ -684,7 +693,7 @@
 
     /// Ends runs that are over or whose lease has expired, and sends the reports that are due.
     fn advance_workers(&mut self) {
-        let (now, epoch) = (self.now, self.epoch);
+        let (now, epoch, checkpoint_bytes) = (self.now, self.epoch, self.checkpoint_bytes);
         self.advance_crashes();
         self.advance_gangs();
         let mut reports = Vec::new();
@@ -710,7 +719,8 @@
             {
                 worker.pending_report = None;
                 if worker.unreachable_until <= now {
-                    reports.push((from, Event::LeaseAnswered(incarnation.clone(), Ok(worker.report(now)))));
+                    let report = worker.report(now, checkpoint_bytes);
+                    reports.push((from, Event::LeaseAnswered(incarnation.clone(), Ok(report))));
                 } else {
                     reports.push((from, Event::LeaseAnswered(incarnation.clone(), Err(OrderError::Silent))));
                 }
@@ -1038,7 +1048,7 @@
     /// Returns the highest tail latency of the serving runs, in percent of its target.
     pub fn worst_tail_percent(&self) -> u64 {
         let worst_of_worker = |w: &Worker| {
-            let report = w.report(self.now);
+            let report = w.report(self.now, 0);
             let load = |task: &TaskKey| report.active.iter().find(|a| a.task == *task).map_or(0, |a| a.load);
             let runs = w.runs.iter().filter_map(|((task, _), r)| Some(load(task) * 100 / r.tail_target?));
             runs.max().unwrap_or(0)
--- a/yuccahoist/tests/shard/large_jobs.rs
+++ b/yuccahoist/tests/shard/large_jobs.rs
@@ -157,3 +157,78 @@
         assert_eq!(is_refused, case.is_refused, "{}: {:?}", case.name, cluster.answers.get(&2));
     }
 }
+
+/// The record of a job outgrew the largest one that the store takes. The store refused it for ever, so the owner and each
+/// successor were stuck.
+#[test]
+fn records_of_large_jobs_fit_into_the_store() {
+    struct Case {
+        name: &'static str,
+        job: fn() -> JobSpec,
+        is_valid: bool,
+        /// Length of the checkpoints that the tasks save, bytes.
+        checkpoint: usize,
+        failed_run: f64,
+    }
+    let base = Case { name: "", job: || wide(1), is_valid: true, checkpoint: 0, failed_run: 0.0 };
+    let cases = [
+        Case {
+            name: "as many steps as a body holds",
+            job: || stepped(15_000, |_| Vec::new()),
+            is_valid: false,
+            ..base
+        },
+        Case { name: "steps that fit", job: || stepped(2_000, |_| Vec::new()), ..base },
+        Case {
+            name: "long texts",
+            job: || {
+                let mut job = stepped(2_000, |_| Vec::new());
+                job.steps.iter_mut().for_each(|step| step.image = Some("i".repeat(200)));
+                job
+            },
+            is_valid: false,
+            ..base
+        },
+        Case { name: "more tasks than fit", job: || wide(20_001), is_valid: false, ..base },
+        Case {
+            name: "tasks with many attempts",
+            job: || {
+                let mut job = wide(15_000);
+                job.queue.max_failures = 9;
+                job
+            },
+            is_valid: false,
+            ..base
+        },
+        Case { name: "tasks that fit", job: || wide(4_000), ..base },
+        Case {
+            name: "checkpoints",
+            job: || {
+                let mut job = wide(4_000);
+                (job.steps[0].checkpoints, job.steps[0].estimate) = (true, Duration::from_millis(1_500));
+                job
+            },
+            checkpoint: 300,
+            failed_run: 0.5,
+            ..base
+        },
+        Case { name: "failures", job: || wide(4_000), failed_run: 0.5, ..base },
+    ];
+    for case in cases {
+        let mut cluster = SimulatedCluster::new(1, 8);
+        cluster.checkpoint_bytes = case.checkpoint;
+        cluster.faults.failed_run = case.failed_run;
+        cluster.advance(100);
+        cluster.submit(1, (case.job)());
+        cluster.advance(100);
+        let is_invalid = matches!(cluster.answers.get(&1), Some(Answer::Invalid(_)));
+        assert_eq!(is_invalid, !case.is_valid, "{}: {:?}", case.name, cluster.answers.get(&1));
+        cluster.advance(1_000);
+        cluster.take_over(true);
+        cluster.advance(1_000);
+        cluster.faults.failed_run = 0.0;
+        cluster.submit(2, spec(1, 100));
+        cluster.advance(1_000);
+        assert_eq!(cluster.query_state(2), Some(JobState::Completed), "{}: another job", case.name);
+    }
+}
