--- a/yuccahoist_standins/src/platform/log.rs
+++ b/yuccahoist_standins/src/platform/log.rs
@@ -250,6 +250,17 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Appends the bytes of a record as another writer may have written them; a record without a key is in no list of newest
+    /// records.
+    pub fn publish_raw(&self, topic: &str, record: &[u8]) {
+        let mut state = self.lock();
+        let topic = state.topics.entry(topic.into()).or_default();
+        if topic.push(record).is_none() {
+            topic.records.push_back(record.to_vec());
+        }
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Removes all records of a topic, except that the newest record of each key stays available from `newest`.
     pub fn trim(&self, topic: &str) {
         let mut state = self.lock();
