Let only the worker itself end its earlier incarnation

What callers could see: tasks that run twice (TWICE) and a worker that is never used again, after an entry of another writer under the worker's id. Cause: an entry with a later start time ended the runs of the worker and outranked its own entries for good; one with the address of another worker led to an answer that ended them too. The capacity of entries without a worker counted. Evidence: entry_of_another_writer_does_not_end_a_worker failed before with "later start, same address: tasks started again", 12 starts in place of 8. Change: a report ends earlier incarnations, a registration does not; an incarnation that never reported gives way; another incarnation's answer counts at the address at which the worker has reported. Capacity counts once the worker has reported, or for its first 2 s. The simulated cluster routes orders by address now.

--- a/yuccahoist/src/shard/owner/calls.rs
+++ b/yuccahoist/src/shard/owner/calls.rs
@@ -142,8 +142,9 @@
 
     /// Returns the load ahead of a new job, for admission.
     fn load(&self, now: Timestamp, spec: &JobSpec, is_excess: bool) -> Load {
-        let listed =
-            self.workers.values().filter(|w| w.unlisted_since.is_none() || now < w.reregisters_until);
+        let listed = self.workers.values().filter(|w| {
+            (w.unlisted_since.is_none() || now < w.reregisters_until) && w.has_known_capacity(now)
+        });
         let (capacities, used): (Vec<Resources>, Vec<u64>) =
             listed.map(|w| (w.entry.capacity, w.used.cpu.0)).unzip();
         let cpu_used = used.into_iter().fold(0, u64::saturating_add);
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -78,6 +78,7 @@
                 None => Duration::ZERO,
             };
             worker.lease_extension = LeaseExtension::InFlight(now);
+            worker.called_address.clone_from(&worker.entry.address);
             self.actions.push(Action::ExtendLease {
                 incarnation: incarnation.clone(),
                 address: worker.entry.address.clone(),
@@ -113,19 +114,18 @@
 
     pub(super) fn on_worker(&mut self, now: Timestamp, entry: WorkerEntry) {
         let incarnation = entry.incarnation.clone();
-        let earlier: Vec<WorkerIncarnation> = self
-            .workers
-            .keys()
-            .filter(|i| i.id == incarnation.id && i.started_at < incarnation.started_at)
-            .cloned()
-            .collect();
-        for previous in earlier {
-            self.replace_incarnation(now, &previous, "a later incarnation registered");
+        for later in self.incarnations_of(&incarnation, |other| other > incarnation.started_at) {
+            let is_proven = self.workers.get(&later).is_some_and(|w| w.has_reported || !w.runs.is_empty());
+            if is_proven {
+                return;
+            }
+            self.end_incarnation(now, &later, WorkerFate::Unknown, "an earlier incarnation registered again");
         }
-        self.confirm_crashes_before(now, &entry);
-        if self.workers.keys().any(|i| i.id == incarnation.id && i.started_at > incarnation.started_at) {
-            return;
+        // Only a report shows that the later incarnation exists; the entry may be of another writer.
+        for previous in self.incarnations_of(&incarnation, |other| other < incarnation.started_at) {
+            self.unlist(now, &previous, Unlisting::Unexplained);
         }
+        self.confirm_crashes_before(now, &entry);
         self.pass_due = true;
         let inherited = self.inherited_expiry(now);
         let worker = self.workers.entry(incarnation.clone()).or_insert_with(|| {
@@ -142,23 +142,27 @@
 
     /// Records that the registry does not list a worker any more; the next check decides whether its runs are over.
     pub(super) fn on_worker_unlisted(&mut self, now: Timestamp, id: &str, reason: Unlisting) {
-        // The registry may answer before the store takes writes again.
-        let reregisters_until = if self.store_up { self.recovered_at } else { now } + REREGISTRATION_TIME;
         let incarnations: Vec<WorkerIncarnation> =
             self.workers.keys().filter(|i| &*i.id == id).cloned().collect();
         for incarnation in incarnations {
-            let Some(worker) = self.workers.get_mut(&incarnation) else { continue };
-            let lease = worker.lease.expiry().since(now).as_millis();
-            log::info!(
-                target: "decision",
-                "worker worker={incarnation} outcome=unlisted reason={reason} draining={} lease_ms={lease}",
-                worker.entry.draining
-            );
-            worker.has_deregistered |= reason == Unlisting::Deregistered;
-            if worker.unlisted_since.is_none() {
-                worker.unlisted_since = Some(now);
-                worker.reregisters_until = reregisters_until;
-            }
+            self.unlist(now, &incarnation, reason);
+        }
+    }
+
+    fn unlist(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, reason: Unlisting) {
+        // The registry may answer before the store takes writes again.
+        let reregisters_until = if self.store_up { self.recovered_at } else { now } + REREGISTRATION_TIME;
+        let Some(worker) = self.workers.get_mut(incarnation) else { return };
+        let lease = worker.lease.expiry().since(now).as_millis();
+        log::info!(
+            target: "decision",
+            "worker worker={incarnation} outcome=unlisted reason={reason} draining={} lease_ms={lease}",
+            worker.entry.draining
+        );
+        worker.has_deregistered |= reason == Unlisting::Deregistered;
+        if worker.unlisted_since.is_none() {
+            worker.unlisted_since = Some(now);
+            worker.reregisters_until = reregisters_until;
         }
     }
 
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -30,7 +30,10 @@
             return;
         }
         if error == OrderError::OtherIncarnation {
-            return self.replace_incarnation(now, incarnation, "another incarnation answered");
+            if self.workers.get(incarnation).is_none_or(Worker::is_ended_by_other) {
+                return self.replace_incarnation(now, incarnation, "another incarnation answered");
+            }
+            log::warn!(target: "decision", "worker worker={incarnation} outcome=misdirected reason=\"the entry has another address\"");
         }
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         worker.lease_extension = LeaseExtension::Due(now + UNANSWERED_CALL_DELAY);
@@ -47,6 +50,32 @@
         }
     }
 
+    /// Handles a report that names another incarnation than the one that was called.
+    fn on_report_of_other(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
+        if self.workers.get(incarnation).is_none_or(Worker::is_ended_by_other) {
+            self.replace_incarnation(now, incarnation, "report names another incarnation");
+        } else {
+            self.on_lease_error(now, incarnation, OrderError::OtherIncarnation);
+        }
+    }
+
+    /// Ends the earlier incarnations of a worker that has reported.
+    fn replace_earlier(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
+        for previous in self.incarnations_of(incarnation, |other| other < incarnation.started_at) {
+            self.replace_incarnation(now, &previous, "a later incarnation reported");
+        }
+    }
+
+    /// Returns the incarnations of a worker whose start times `matches` holds for.
+    pub(super) fn incarnations_of(
+        &self,
+        incarnation: &WorkerIncarnation,
+        matches: impl Fn(u64) -> bool,
+    ) -> Vec<WorkerIncarnation> {
+        let same = self.workers.keys().filter(|i| i.id == incarnation.id && matches(i.started_at));
+        same.cloned().collect()
+    }
+
     /// Requeues tasks whose runs may overlap, so that they start elsewhere while their worker is unresponsive.
     fn requeue_overlapping(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
         let Some(worker) = self.workers.get(incarnation) else { return };
@@ -84,9 +113,11 @@
 
     pub(super) fn on_report(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, report: &Report) {
         if report.started_at.is_some_and(|started_at| started_at != incarnation.started_at) {
-            return self.replace_incarnation(now, incarnation, "report names another incarnation");
+            return self.on_report_of_other(now, incarnation);
         }
+        self.replace_earlier(now, incarnation);
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
+        worker.reported_address.clone_from(&worker.called_address);
         let sent = match worker.lease_extension {
             LeaseExtension::InFlight(at) => at,
             LeaseExtension::Due(_) => now,
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -168,14 +168,12 @@
         result: Result<(), OrderError>,
     ) {
         match result {
-            Err(OrderError::OtherIncarnation) => {
-                return self.replace_incarnation(now, incarnation, "another incarnation answered");
-            }
             Err(error @ OrderError::Fenced) => {
                 self.step_down_if_fenced(error);
                 return;
             }
-            Err(OrderError::Silent | OrderError::Unhealthy) => {
+            // Whether the worker has ended is left to its lease extension, whose address is known.
+            Err(OrderError::Silent | OrderError::Unhealthy | OrderError::OtherIncarnation) => {
                 self.stop_retries.insert((task, run), now + STOP_RETRY_DELAY);
                 return;
             }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -92,6 +92,10 @@
     pub is_responsive: bool,
     /// Since when the worker has been unresponsive; `None` while it answers.
     pub silent_since: Option<Timestamp>,
+    /// Address to which the last lease extension was sent.
+    pub called_address: String,
+    /// Address at which the worker last reported; empty before its first report to this owner.
+    pub reported_address: String,
     /// When the call that the last report answers was sent.
     pub last_report: Timestamp,
     /// When the last report arrived.
@@ -136,6 +140,8 @@
             has_reported: false,
             is_responsive: true,
             silent_since: None,
+            called_address: String::new(),
+            reported_address: String::new(),
             last_report: now,
             reported_at: now,
             end_age: Duration::MAX,
@@ -265,6 +271,25 @@
         !self.used.fits(self.entry.capacity)
     }
 
+    /// Whether `address` is the worker's own. A worker never changes its address, so an entry that names another one than that
+    /// at which it has reported is of another writer.
+    #[must_use]
+    pub fn is_own_address(&self, address: &str) -> bool {
+        self.reported_address.is_empty() || self.reported_address == address
+    }
+
+    /// Whether another incarnation that answers a lease extension shows that the worker has ended.
+    #[must_use]
+    pub fn is_ended_by_other(&self) -> bool {
+        self.is_own_address(&self.called_address)
+    }
+
+    /// Whether the capacity in the worker's entry counts: it has reported, or had no time to do so yet.
+    #[must_use]
+    pub fn has_known_capacity(&self, now: Timestamp) -> bool {
+        self.has_reported || now.since(self.last_report) < FIRST_REPORT_TIMEOUT
+    }
+
     /// Whether the worker has left: after draining it removed its registry entry, and it no longer answers.
     #[must_use]
     pub fn has_left(&self, now: Timestamp) -> bool {
@@ -287,6 +312,7 @@
             && self.has_reported
             && self.is_responsive
             && !self.entry.draining
+            && self.is_own_address(&self.entry.address)
             && self.lease.granted_until().is_some_and(|until| now + MIN_START_LEASE < until)
     }
 }
@@ -294,5 +320,7 @@
 /// Age from which the answer to a lease extension has been delayed on its way: the worker holds it for 1 s, and a call
 /// takes a few milliseconds.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_200);
+/// Time in which a new worker reports, unless its entry names no worker; a call and its repeat.
+const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Least remaining lease for a new run: one write to a slow store and one call to the worker must fit into it.
 const MIN_START_LEASE: Duration = Duration::from_millis(500);
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -425,6 +425,11 @@
         self.register(number);
     }
 
+    /// Returns the registry entry of a worker.
+    pub fn entry_of(&self, number: usize) -> WorkerEntry {
+        self.workers.values().nth(number).expect("known worker").entry.clone()
+    }
+
     /// Returns the number of runs on a worker.
     pub fn running_on(&self, number: usize) -> u32 {
         let runs = self.workers.values().nth(number).map_or(0, |w| w.runs.len());
@@ -806,7 +811,13 @@
             }
             Delivery::Order(epoch, action) => {
                 let incarnation = target_worker(&action);
-                let Some(worker) = self.workers.get(&incarnation) else {
+                let address = target_address(&action);
+                if !self.workers.values().any(|w| w.entry.address == address) {
+                    let no_answer = Delivery::Event(epoch, unanswered(&action));
+                    return self.deliver_after(ORDER_TIMEOUT_MS, no_answer);
+                }
+                let addressed = self.workers.get(&incarnation).filter(|w| w.entry.address == address);
+                let Some(worker) = addressed else {
                     let error = failed_order(&action, OrderError::OtherIncarnation);
                     return self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Event(epoch, error));
                 };
@@ -1093,6 +1104,16 @@
     }
 }
 
+fn target_address(action: &Action) -> &str {
+    match action {
+        Action::ExtendLease { address, .. }
+        | Action::Start { address, .. }
+        | Action::Stop { address, .. }
+        | Action::SetPace { address, .. } => address,
+        other => unreachable!("{other:?} has no address"),
+    }
+}
+
 /// Returns the event that follows an order without an answer.
 fn unanswered(action: &Action) -> Event {
     failed_order(action, OrderError::Silent)
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -1,8 +1,9 @@
 //! When the runs of a worker count as over, so that their tasks may start elsewhere. The cluster fails a test in which two
 //! runs of a task overlap.
 
-use yuccahoist::shard::JobKey;
+use yuccahoist::shard::message::WorkerEntry;
 use yuccahoist::shard::record::JobState;
+use yuccahoist::shard::{Event, JobKey};
 
 use super::cluster::{SimulatedCluster, spec};
 
@@ -123,3 +124,56 @@
         }
     }
 }
+
+/// An entry of another writer under the id of a worker ended the runs of the worker, or kept the owner from using it again.
+#[test]
+fn entry_of_another_writer_does_not_end_a_worker() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut WorkerEntry),
+    }
+    let cases = [
+        Case { name: "later start, same address", change: |e| e.incarnation.started_at += 1_000 },
+        Case {
+            name: "later start, no worker at its address",
+            change: |e| {
+                e.incarnation.started_at += 1_000;
+                e.address = "nowhere:1".into();
+            },
+        },
+        Case { name: "address of another worker", change: |e| e.address = "w1:1".into() },
+        Case { name: "no worker at its address", change: |e| e.address = "nowhere:1".into() },
+        Case { name: "earlier start", change: |e| e.incarnation.started_at -= 1 },
+    ];
+    for case in cases {
+        for registered_again_after in [100, 1_500] {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.advance(100);
+            cluster.submit(1, spec(8, 6_000));
+            cluster.advance(1_000);
+            let mut entry = cluster.entry_of(0);
+            (case.change)(&mut entry);
+            cluster.handle_event(Event::Worker(entry));
+            cluster.advance(registered_again_after);
+            cluster.set_draining(0, false);
+            cluster.advance(7_000);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "{}", case.name);
+            assert_eq!(cluster.starts[&JobKey(1)], 8, "{}: tasks started again", case.name);
+            cluster.submit(2, spec(8, 1_000));
+            cluster.advance(500);
+            assert_eq!(cluster.workers_of(2), [0, 1], "{}: the worker is not used again", case.name);
+        }
+    }
+}
+
+/// A worker that has restarted ends its earlier life at once, without a wait for the lease.
+#[test]
+fn tasks_of_a_restarted_worker_start_again_at_once() {
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(100);
+    cluster.submit(1, spec(8, 6_000));
+    cluster.advance(1_000);
+    cluster.restart_worker(0);
+    cluster.advance(200);
+    assert_eq!(cluster.starts[&JobKey(1)], 12);
+}
