Read the list of hosts entry by entry

What operators could see: one odd entry in the host list, and the product's daemon no longer followed it; draining workers got work. Cause: the list was decoded as one map, so an unknown state, a value of another type or deep nesting rejected all of it. Evidence: odd_host_leaves_the_others_listed failed before with "unknown variant `resting`". Change: each entry is decoded by itself, and an odd one is left out with a log line. Result: the test passes for six kinds of odd entries.

--- a/yuccahoist/src/systems/http.rs
+++ b/yuccahoist/src/systems/http.rs
@@ -17,6 +17,7 @@
 use reqwest::header::CONTENT_LENGTH;
 use reqwest::{Client, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 use super::{BackendServer, CallError, DispatchBounds, HostList, HostState, WorkerPlatform, WorkerTable};
 use crate::clock::{Clock, MonotonicClock};
@@ -269,6 +270,15 @@
     async fn hosts(&self) -> Result<BTreeMap<String, HostState>, CallError> {
         let call = CallContext { step: "host list", peer: self.address.to_string() };
         let url = format!("http://{}/hosts", self.address);
-        call.send_json(self.client.get(url).timeout(self.timeout)).await
+        let entries: BTreeMap<String, Box<RawValue>> =
+            call.send_json(self.client.get(url).timeout(self.timeout)).await?;
+        let decode = |(name, value): (String, Box<RawValue>)| match serde_json::from_str(value.get()) {
+            Ok(state) => Some((name, state)),
+            Err(error) => {
+                log::warn!("host list: the entry of {name:?} does not decode: {error}");
+                None
+            }
+        };
+        Ok(entries.into_iter().filter_map(decode).collect())
     }
 }
--- a/yuccahoist_standins/tests/http.rs
+++ b/yuccahoist_standins/tests/http.rs
@@ -7,6 +7,8 @@
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use tokio::net::TcpListener;
+use warp::Filter;
+
 use yuccahoist::id::{Epoch, RequestId, WorkerId};
 use yuccahoist::placement::{Inventory, WorkerCommand};
 use yuccahoist::request::{Class, Request};
@@ -158,3 +160,23 @@
     let expected = BTreeMap::from([("w1".into(), HostState::Live), ("w2".into(), HostState::Leaving)]);
     assert_eq!(client.hosts().await.expect("list"), expected);
 }
+
+/// One odd entry made the whole list of hosts unreadable, so that draining hosts were no longer seen.
+#[tokio::test]
+async fn odd_host_leaves_the_others_listed() {
+    let nested = "[".repeat(50_000) + &"]".repeat(50_000);
+    let odd = ["\"resting\"", "7", "1e999999", "null", "{}", nested.as_str()];
+    for odd in odd {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port bound");
+        let address = listener.local_addr().expect("local address");
+        let body = format!(r#"{{"a":"live","odd":{odd},"w1":"leaving"}}"#);
+        let route = warp::path!("hosts").map(move || body.clone());
+        tokio::spawn(warp::serve(route).incoming(listener).run());
+        let list = HttpHostList::new(&PlatformSettings::new(address, address)).expect("client built");
+        let hosts = list.hosts().await.unwrap_or_else(|error| panic!("{odd:.20}: {error}"));
+        let expected = [("a", HostState::Live), ("w1", HostState::Leaving)];
+        let expected: BTreeMap<String, HostState> =
+            expected.into_iter().map(|(name, state)| (name.to_owned(), state)).collect();
+        assert_eq!(hosts, expected, "{odd:.20}");
+    }
+}
