Send a call to two owners at most

What callers could see: what occupied or ended one owner reached all hosts, since each next owner got the same call (LOST). Cause: a host kept a call until its caller's patience ended, and sent it to every new owner. A call larger than a frame made the receiver close the connection, which was opened again for it. Evidence: call_that_is_lost_with_two_owners_reaches_no_third failed before with "submission: third owner", call_larger_than_a_frame_leaves_the_connection_open with "frame of 2097218 bytes exceeds the limit". Change: a call that was lost with two owners is answered at once, 504 if its outcome is not known and 503 if it only reads. A frame that is too large is dropped by its sender. Result: both tests pass, and a call lost with one owner still reaches the next.

--- a/yuccahoist/src/shard/host/frame.rs
+++ b/yuccahoist/src/shard/host/frame.rs
@@ -128,6 +128,11 @@
 fn encode(frame: &Frame, buffer: &mut Vec<u8>) -> io::Result<()> {
     let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
+    if length > MAX_FRAME_BYTES {
+        // The receiver would close the connection, and get the frame again on the next one.
+        log::error!("frame of {length} bytes dropped: it exceeds the limit of {MAX_FRAME_BYTES} bytes");
+        return Ok(());
+    }
     buffer.extend_from_slice(&length.to_be_bytes());
     buffer.extend_from_slice(&body);
     Ok(())
--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -38,6 +38,10 @@
 /// Capacity of the input queue, several seconds of a burst; its senders wait while it is full.
 const INBOX_CAPACITY: usize = 8_192;
 
+/// Owners to which a host sends one call. A call that is harmless and lost with its owner reaches the next one; a call
+/// that ends or occupies each owner does not reach all hosts.
+const MAX_OWNERS_PER_CALL: u32 = 2;
+
 /// Systems that a host uses.
 #[derive(Debug, Clone)]
 pub struct Ports {
@@ -197,8 +201,39 @@
     request: Request,
     reply: oneshot::Sender<Answer>,
     expires_at: Timestamp,
-    /// Whether the request was sent to an owner, so that its outcome may be unknown.
-    sent: bool,
+    /// Epoch of the last owner to which the request was sent; `None` before.
+    last_owner: Option<Epoch>,
+    /// Number of owners to which the request was sent.
+    owners: u32,
+}
+
+impl PendingCall {
+    fn new(request: Request, reply: oneshot::Sender<Answer>, expires_at: Timestamp) -> Self {
+        Self { request, reply, expires_at, last_owner: None, owners: 0 }
+    }
+
+    /// Records that the request is sent to the owner of `epoch`.
+    fn note_owner(&mut self, epoch: Epoch) {
+        if self.last_owner.replace(epoch) != Some(epoch) {
+            self.owners += 1;
+        }
+    }
+
+    /// Whether the request may be sent to the owner of `epoch`: one that was lost with several owners may be the cause.
+    fn may_reach(&self, epoch: Epoch) -> bool {
+        self.owners < MAX_OWNERS_PER_CALL || self.last_owner == Some(epoch)
+    }
+
+    /// Returns the answer to a call that no owner answers; the outcome of one that was sent is unknown, unless it only reads.
+    fn failure(&self) -> Answer {
+        let is_read = matches!(self.request, Request::Query(..) | Request::Count(_));
+        if self.last_owner.is_some() && !is_read { Answer::Unclear } else { no_owner() }
+    }
+}
+
+/// Returns the answer to a request that no owner has executed.
+fn no_owner() -> Answer {
+    Answer::Refused { cause: Refusal::NoOwner, retry: Duration::from_secs(1) }
 }
 
 /// Connection to the owner.
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -8,7 +8,7 @@
 use super::campaign::{Candidate, Outcome, campaign, campaign_delay};
 use super::frame::{Frame, split};
 use super::{HostState, Input, Loss, OwnerLink, PendingCall, RequestOrigin};
-use crate::shard::message::{Answer, CallId, Event, Refusal, Request};
+use crate::shard::message::{Answer, CallId, Event, Request};
 use crate::shard::ports::{Announcement, StoreError};
 use crate::unit::Timestamp;
 
@@ -69,7 +69,7 @@
     ) {
         self.last_call += 1;
         let number = self.last_call;
-        self.pending.insert(number, PendingCall { request, reply, expires_at: now + wait, sent: false });
+        self.pending.insert(number, PendingCall::new(request, reply, now + wait));
         self.send_call(now, number);
     }
 
@@ -77,24 +77,32 @@
     fn send_call(&mut self, now: Timestamp, number: u64) {
         let Some(pending) = self.pending.get_mut(&number) else { return };
         let request = pending.request.clone();
+        let epoch = self.epoch;
         if self.owner.is_some() {
-            pending.sent = true;
-            let epoch = self.epoch;
+            pending.note_owner(epoch);
             return self.owner_event(now, epoch, Event::Call(CallId { link: 0, number }, request));
         }
         if let Some(link) = &self.owner_link
             && link.joined
             && link.sender.send(Frame::Call { number, request })
         {
-            pending.sent = true;
+            pending.note_owner(epoch);
         }
     }
 
-    /// Sends all pending calls to a new owner; requests are idempotent, so repeats are safe.
+    /// Sends the pending calls to a new owner; requests are idempotent, so repeats are safe. Answers those that were lost with
+    /// too many owners.
     pub(super) fn send_pending(&mut self, now: Timestamp) {
         let numbers: Vec<u64> = self.pending.keys().copied().collect();
         for number in numbers {
-            self.send_call(now, number);
+            match self.pending.get(&number) {
+                Some(pending) if !pending.may_reach(self.epoch) => {
+                    let (answer, owners) = (pending.failure(), pending.owners);
+                    log::warn!(target: "decision", "relay call={number} outcome={answer:?} reason=\"lost with {owners} owners\"");
+                    self.reply(number, answer);
+                }
+                _ => self.send_call(now, number),
+            }
         }
     }
 
@@ -109,18 +117,15 @@
 
     /// Ends pending calls whose caller has disconnected, whose time limit has passed, or that found no owner in time.
     fn expire_calls(&mut self, now: Timestamp) {
-        let refused = Answer::Refused { cause: Refusal::NoOwner, retry: Duration::from_secs(1) };
         let ownerless = self.ownerless_since.is_some_and(|at| now.since(at) > UNSENT_TIMEOUT);
         let mut ended = Vec::new();
         for (number, pending) in &self.pending {
             if pending.reply.is_closed() {
                 ended.push((*number, Answer::Unclear));
             } else if now >= pending.expires_at {
-                let read_only = matches!(pending.request, Request::Query(..) | Request::Count(_));
-                let answer = if pending.sent && !read_only { Answer::Unclear } else { refused.clone() };
-                ended.push((*number, answer));
-            } else if ownerless && !pending.sent {
-                ended.push((*number, refused.clone()));
+                ended.push((*number, pending.failure()));
+            } else if ownerless && pending.last_owner.is_none() {
+                ended.push((*number, super::no_owner()));
             }
         }
         for (number, answer) in ended {
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -17,6 +17,7 @@
 mod neighbours;
 mod owner;
 mod records;
+mod relay;
 mod request_queue;
 mod retry;
 mod shares;
