--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -8,10 +8,13 @@
 use crate::shard::worker::LeaseExtension;
 use crate::unit::{Bytes, Timestamp};
 
+/// Removes a part of a job's progress.
+type Reduction = fn(&mut Progress);
+
 /// Encodes the progress of a job. A record that the store would refuse leaves out what a later owner can do without: the
 /// workers lost under the tasks, then the checkpoints.
 fn progress_entry(key: JobKey, mut progress: Progress, limit: Bytes) -> Entry {
-    let reductions: [(&str, fn(&mut Progress)); 2] =
+    let reductions: [(&str, Reduction); 2] =
         [("losses", |progress| progress.losses.clear()), ("checkpoints", Progress::clear_checkpoints)];
     let mut entry = Entry::from_progress(key, &progress);
     for (part, reduce) in reductions {
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -115,7 +115,9 @@
         if report.started_at.is_some_and(|started_at| started_at != incarnation.started_at) {
             return self.on_report_of_other(now, incarnation);
         }
-        self.replace_earlier(now, incarnation);
+        if self.workers.get(incarnation).is_some_and(|w| !w.has_reported) {
+            self.replace_earlier(now, incarnation);
+        }
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         worker.reported_address.clone_from(&worker.called_address);
         let sent = match worker.lease_extension {
--- a/yuccahoist_bench/benches/large_job.rs
+++ b/yuccahoist_bench/benches/large_job.rs
@@ -120,8 +120,11 @@
     }
 }
 
+/// Returns a job of a size.
+type Builder = fn(u32) -> JobSpec;
+
 /// Kinds of large jobs, each by its size.
-fn kinds() -> [(&'static str, fn(u32) -> JobSpec); 5] {
+fn kinds() -> [(&'static str, Builder); 5] {
     [
         ("steps", |size| job(size, 1, |_| Vec::new())),
         ("chain", |size| job(size, 1, |n| n.checked_sub(1).into_iter().collect())),
