Share the setup of the lease tests and of the bench of large jobs

Cause: the same lines stood in three tests and in three cases of the bench. Change: busy_cluster and Fleet::with_job; no check changed.

--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -14,6 +14,17 @@
 /// The same after a takeover, when the predecessor may have extended the lease for 6 s more, milliseconds.
 const TAKEOVER_RESTART_MS: u64 = 11_000;
 
+/// Returns a cluster of three workers with a job of two tasks, the first worker that runs one, and its number of runs.
+fn busy_cluster() -> (SimulatedCluster, usize, u32) {
+    let mut cluster = SimulatedCluster::new(1, 3);
+    cluster.advance(100);
+    cluster.submit(1, spec(2, TASK_MS));
+    cluster.advance(1_000);
+    let worker = cluster.workers_of(1)[0];
+    let runs = cluster.running_on(worker);
+    (cluster, worker, runs)
+}
+
 /// A draining worker that was cut off counted as having left as soon as its registry entry had expired, so its tasks were
 /// started elsewhere before its lease had run out.
 #[test]
@@ -35,12 +46,7 @@
         Case { name: "not draining", is_draining: false, ..base },
     ];
     for case in cases {
-        let mut cluster = SimulatedCluster::new(1, 3);
-        cluster.advance(100);
-        cluster.submit(1, spec(2, TASK_MS));
-        cluster.advance(1_000);
-        let worker = cluster.workers_of(1)[0];
-        let runs = cluster.running_on(worker);
+        let (mut cluster, worker, runs) = busy_cluster();
         cluster.set_draining(worker, case.is_draining);
         cluster.advance(1_000);
         cluster.disconnect(worker, 60_000, case.one_way);
@@ -66,12 +72,7 @@
         Case { name: "entry is removed after a call has failed", removed_after: 1_700 },
     ];
     for case in cases {
-        let mut cluster = SimulatedCluster::new(1, 3);
-        cluster.advance(100);
-        cluster.submit(1, spec(2, TASK_MS));
-        cluster.advance(1_000);
-        let worker = cluster.workers_of(1)[0];
-        let runs = cluster.running_on(worker);
+        let (mut cluster, worker, runs) = busy_cluster();
         cluster.set_draining(worker, true);
         cluster.advance(2_000);
         cluster.crash_worker(worker, 60_000);
@@ -100,12 +101,7 @@
     ];
     for case in cases {
         for disappears_after in (5..300).step_by(5) {
-            let mut cluster = SimulatedCluster::new(1, 3);
-            cluster.advance(100);
-            cluster.submit(1, spec(2, TASK_MS));
-            cluster.advance(1_000);
-            let worker = cluster.workers_of(1)[0];
-            let runs = cluster.running_on(worker);
+            let (mut cluster, worker, runs) = busy_cluster();
             cluster.set_draining(worker, case.is_draining);
             // An end that its worker could not report delays the first extension by the new owner.
             cluster.submit(2, spec(4, 500));
--- a/yuccahoist_bench/benches/large_job.rs
+++ b/yuccahoist_bench/benches/large_job.rs
@@ -67,6 +67,14 @@
         fleet
     }
 
+    /// Returns an owner that has accepted a job and placed what fits into a pass.
+    fn with_job(spec: &Arc<JobSpec>) -> Self {
+        let mut fleet = Self::new(StoredRecords::default());
+        fleet.submit(spec);
+        fleet.settle();
+        fleet
+    }
+
     fn handle(&mut self, event: Event) {
         self.owner.handle(self.now, WALL, event, &mut self.actions);
     }
@@ -168,12 +176,7 @@
             });
             group.bench_with_input(BenchmarkId::new("next_submission", size), &spec, |b, spec| {
                 let small = Arc::new(self::job(1, 1, |_| Vec::new()));
-                let fleet = || {
-                    let mut fleet = Fleet::new(StoredRecords::default());
-                    fleet.submit(spec);
-                    fleet.settle();
-                    fleet
-                };
+                let fleet = || Fleet::with_job(spec);
                 let submit = |fleet: &mut Fleet| {
                     let request = Request::Submit(JobKey(2), small.clone());
                     fleet.handle(Event::Call(CallId { link: 0, number: 2 }, request));
@@ -181,12 +184,7 @@
                 b.iter_batched_ref(fleet, submit, BatchSize::PerIteration);
             });
             group.bench_with_input(BenchmarkId::new("cancel", size), &spec, |b, spec| {
-                let fleet = || {
-                    let mut fleet = Fleet::new(StoredRecords::default());
-                    fleet.submit(spec);
-                    fleet.settle();
-                    fleet
-                };
+                let fleet = || Fleet::with_job(spec);
                 let cancel = |fleet: &mut Fleet| {
                     fleet
                         .handle(Event::Call(CallId { link: 0, number: 3 }, Request::Cancel(JobKey(1), None)));
@@ -194,9 +192,7 @@
                 b.iter_batched_ref(fleet, cancel, BatchSize::PerIteration);
             });
             group.bench_with_input(BenchmarkId::new("restore", size), &spec, |b, spec| {
-                let mut fleet = Fleet::new(StoredRecords::default());
-                fleet.submit(spec);
-                fleet.settle();
+                let fleet = Fleet::with_job(spec);
                 let records = || {
                     let mut records = StoredRecords::default();
                     let decoded = fleet.records.iter().map(|e| Record::try_from(e).expect("own encoding"));
