Log and count what proves that a run is over

Cause: of the ways from one run of a task to its next start, a run that a report no longer lists, a run whose start was not sent and one that a worker refused left no line, and an end that came after the next start left none either; so a record can't tell why a task was started again. Decisions are as before.

--- a/yuccahoist/src/shard/mod.rs
+++ b/yuccahoist/src/shard/mod.rs
@@ -29,6 +29,7 @@
 pub mod record;
 pub mod request_queue;
 pub mod retry;
+pub mod run_end;
 pub mod spec;
 pub mod speed;
 pub mod watch;
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -35,6 +35,7 @@
 use super::record::Ownership;
 use super::request_queue::{RequestKind, RequestRank};
 use super::retry::RefusedCallers;
+use super::run_end::EndCounts;
 use super::spec::HIGHEST_PRIORITY;
 use super::worker::Worker;
 use super::workspace::{WorkspaceName, WorkspaceTable, WorkspaceTerms};
@@ -159,6 +160,8 @@
     pub failed: u64,
     /// Runs lost because their worker's lease expired or its incarnation ended.
     pub lost: u64,
+    /// Runs that ended, by the proof of their end.
+    pub ended_runs: EndCounts,
     /// Workers of which a later incarnation showed that they had crashed.
     pub crashed_workers: u64,
     /// Tasks given up because they crash their workers.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -10,6 +10,7 @@
 use crate::shard::message::{Action, Unlisting, WorkerEntry};
 use crate::shard::pacing::FULL_SPEED_PERCENT;
 use crate::shard::record::JobState;
+use crate::shard::run_end::EndProof;
 use crate::shard::worker::{LeaseExtension, Worker};
 use crate::unit::Timestamp;
 
@@ -98,17 +99,19 @@
             let Some(worker) = self.workers.get(&incarnation) else { continue };
             let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
             if worker.has_left(now) {
-                self.end_incarnation(now, &incarnation, fate, "deregistered after draining");
+                let reason = "deregistered after draining";
+                self.end_incarnation(now, &incarnation, fate, EndProof::Left, reason);
                 continue;
             }
             if worker.unlisted_since.is_some() {
-                self.end_incarnation(now, &incarnation, fate, "missing from the registry, lease expired");
+                let reason = "missing from the registry, lease expired";
+                self.end_incarnation(now, &incarnation, fate, EndProof::Lapsed, reason);
                 continue;
             }
             if !worker.runs.is_empty() {
                 log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", worker.runs.len());
             }
-            self.lose_runs(now, &incarnation, fate);
+            self.lose_runs(now, &incarnation, fate, EndProof::Lapsed);
         }
     }
 
@@ -119,7 +122,8 @@
             if is_proven {
                 return;
             }
-            self.end_incarnation(now, &later, WorkerFate::Unknown, "an earlier incarnation registered again");
+            let reason = "an earlier incarnation registered again";
+            self.end_incarnation(now, &later, WorkerFate::Unknown, EndProof::NotSent, reason);
         }
         // Only a report shows that the later incarnation exists; the entry may be of another writer.
         for previous in self.incarnations_of(&incarnation, |other| other < incarnation.started_at) {
@@ -202,7 +206,7 @@
             if let Some(worker) = self.workers.get_mut(&incarnation) {
                 worker.health.isolate(now, STALL_ISOLATION);
             }
-            self.stop_task(task);
+            self.stop_task(now, task);
         }
     }
 
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -5,6 +5,7 @@
 use crate::shard::job::Phase;
 use crate::shard::message::Action;
 use crate::shard::record::{Entry, Progress, Record};
+use crate::shard::run_end::EndProof;
 use crate::shard::worker::LeaseExtension;
 use crate::unit::{Bytes, Timestamp};
 
@@ -117,7 +118,7 @@
         let (Some((worker, deadline)), false, false) = (deadline, ticket_missing, is_unwanted) else {
             log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome=dropped ticket={} capped={is_capped}", !ticket_missing);
             self.subtract_cap_usage(key);
-            self.drop_placement(now, task, run);
+            self.drop_placement(now, task, run, EndProof::NotSent);
             return;
         };
         placement.phase = Phase::Starting;
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -8,6 +8,7 @@
 use crate::shard::loss::{Loss, WorkerFate};
 use crate::shard::message::{EndKind, WorkerEntry};
 use crate::shard::record::{JobState, TaskLoss};
+use crate::shard::run_end::EndProof;
 use crate::unit::Timestamp;
 
 /// Runs of a lost worker that may be unreachable only.
@@ -25,7 +26,13 @@
 
 impl Owner {
     /// Ends all runs of a lost worker.
-    pub(super) fn lose_runs(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, fate: WorkerFate) {
+    pub(super) fn lose_runs(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        fate: WorkerFate,
+        proof: EndProof,
+    ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
         let runs: Vec<_> = worker.runs.iter().map(|(key, run)| (*key, run.clone())).collect();
         let beside = runs.len().saturating_sub(1);
@@ -37,6 +44,7 @@
                 "lost task={task} run={run} worker={incarnation} fate={fate} started={} age_ms={age} beside={beside}",
                 reserved.is_started,
             );
+            self.note_end(now, *task, *run, incarnation, proof);
             self.record_loss(now, *task, *run, incarnation, fate);
         }
         for ((task, run), _) in runs {
--- a/yuccahoist/src/shard/owner/preempt.rs
+++ b/yuccahoist/src/shard/owner/preempt.rs
@@ -184,7 +184,7 @@
         }
         for task in preempted {
             log::info!(target: "decision", "stop task={task} reason=\"preempted by step {key}\"");
-            self.stop_task(*task);
+            self.stop_task(now, *task);
         }
     }
 }
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -109,6 +109,9 @@
                 &Progress { submitted: wall, ..Progress::default() },
             );
         }
+        let runs: usize = owner.workers.values().map(|w| w.runs.len()).sum();
+        let (jobs, workers) = (owner.jobs.len(), owner.workers.len());
+        log::info!(target: "decision", "restore epoch={} jobs={jobs} runs={runs} workers={workers}", owner.epoch());
         owner
     }
 
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -8,6 +8,7 @@
 use crate::shard::job::{Phase, Placement};
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{ActiveRun, OrderError, Report};
+use crate::shard::run_end::EndProof;
 use crate::shard::worker::{LeaseExtension, Worker};
 use crate::unit::Timestamp;
 
@@ -143,6 +144,7 @@
         let truncated = report.ended.len() >= MAX_REPORTED_ENDS;
         for end in &report.ended {
             if end.number > previous {
+                self.counters.ended_runs.add(EndProof::Reported);
                 self.on_end(now, incarnation, end.task, end.run, end.kind, &end.checkpoint);
             }
         }
@@ -192,7 +194,7 @@
         }
         if self.is_obsolete(task) {
             // A previous owner ended the job, and its stop order may not have arrived.
-            self.stop_task(task);
+            self.stop_task(now, task);
         }
         if active.checkpoint.is_empty() {
             return;
@@ -256,6 +258,7 @@
         let unlisted: Vec<_> = worker.runs.keys().filter(|key| !listed.contains(key)).copied().collect();
         for (task, run) in unlisted {
             let Some(placement) = self.placement(task, run, incarnation) else {
+                self.note_end(now, task, run, incarnation, EndProof::Unlisted);
                 if let Some(worker) = self.workers.get_mut(incarnation) {
                     worker.release(task, run);
                 }
@@ -264,11 +267,14 @@
             };
             match placement.phase {
                 Phase::Storing | Phase::Starting | Phase::Stopping(None) => {}
-                Phase::Unconfirmed(at) if at < sent => self.stop_task(task),
-                Phase::Running(at) | Phase::Stopping(Some(at)) if at < sent => {
-                    self.drop_placement(now, task, run);
+                Phase::Unconfirmed(at) if at < sent => self.stop_task(now, task),
+                Phase::Running(at) if at < sent => {
+                    self.drop_placement(now, task, run, EndProof::Unlisted);
                 }
-                Phase::Inherited => self.drop_placement(now, task, run),
+                Phase::Stopping(Some(at)) if at < sent => {
+                    self.drop_placement(now, task, run, EndProof::Stopped);
+                }
+                Phase::Inherited => self.drop_placement(now, task, run, EndProof::Fenced),
                 Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
             }
         }
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -1,17 +1,20 @@
 //! Placed runs: results of start and stop orders, ends of runs, and their consequences for the step and the job.
 
+use std::time::Duration;
+
 use super::{Effect, Owner};
 use crate::shard::id::{JobKey, StepKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{Action, EndKind, OrderError};
 use crate::shard::record::JobState;
+use crate::shard::run_end::EndProof;
 use crate::unit::Timestamp;
 
 /// Isolation of a worker that refused a start order; such a worker keeps refusing for seconds.
-const REFUSAL_ISOLATION: std::time::Duration = std::time::Duration::from_millis(1_000);
+const REFUSAL_ISOLATION: Duration = Duration::from_millis(1_000);
 /// Delay before a stop order is repeated; less than the time that a worker takes to stop a run.
-const STOP_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(150);
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 impl Owner {
     /// Returns the placement of a task if it is for run `run` on `incarnation`.
@@ -74,7 +77,7 @@
                 }
             }
         }
-        self.drop_placement(now, task, run);
+        self.drop_placement(now, task, run, EndProof::Refused);
     }
 
     /// Marks a queued job as running once its first task has started.
@@ -88,25 +91,41 @@
         self.adjust_queued_jobs(&queue, -1);
     }
 
-    /// Removes the placement of a run that certainly does not exist on its worker.
-    pub(super) fn drop_placement(&mut self, now: Timestamp, task: TaskKey, run: u32) {
+    /// Logs and counts the end of a run whose worker did not report it.
+    pub(super) fn note_end(
+        &mut self,
+        now: Timestamp,
+        task: TaskKey,
+        run: u32,
+        incarnation: &WorkerIncarnation,
+        proof: EndProof,
+    ) {
+        let lease = self.workers.get(incarnation).map_or(Duration::ZERO, |w| w.lease.expiry().since(now));
+        let lease = lease.as_millis();
+        log::info!(target: "decision", "free task={task} run={run} worker={incarnation} proof={proof} lease_ms={lease}");
+        self.counters.ended_runs.add(proof);
+    }
+
+    /// Removes the placement of a run that is over, or never began, on `proof`.
+    pub(super) fn drop_placement(&mut self, now: Timestamp, task: TaskKey, run: u32, proof: EndProof) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let step = &mut job.occurrences[task.step.occurrence as usize][task.step.step as usize];
         let task_state = &mut step.tasks[task.index as usize];
         let Some(placement) = task_state.placement.take_if(|p| p.run == run) else { return };
         job.active_runs -= 1;
+        self.note_end(now, task, run, &placement.incarnation, proof);
         if let Some(worker) = self.workers.get_mut(&placement.incarnation) {
             worker.release(task, run);
         }
         self.stop_retries.remove(&(task, run));
         self.batch.progress.insert(task.step.job);
-        self.stop_gang(task.step);
+        self.stop_gang(now, task.step);
         self.rerank_step(now, task.step);
         self.settle_job(now, task.step.job);
     }
 
     /// Stops the remaining members of a gang that has lost one; does nothing for other steps.
-    fn stop_gang(&mut self, key: StepKey) {
+    fn stop_gang(&mut self, now: Timestamp, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         if !job.spec.steps[key.step as usize].gang {
             return;
@@ -118,12 +137,12 @@
         let members = (0u32..).zip(&step.tasks).filter(|(_, t)| t.placement.is_some());
         let members: Vec<TaskKey> = members.map(|(index, _)| key.task(index)).collect();
         for member in members {
-            self.stop_task(member);
+            self.stop_task(now, member);
         }
     }
 
     /// Stops the placed run of a task; if its start order was not sent yet, removes the placement.
-    pub(super) fn stop_task(&mut self, task: TaskKey) {
+    pub(super) fn stop_task(&mut self, now: Timestamp, task: TaskKey) {
         let key = task.step;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let task_state =
@@ -140,6 +159,7 @@
                     worker.release(task, run);
                 }
                 self.batch.progress.insert(key.job);
+                self.note_end(now, task, run, &incarnation, EndProof::NotSent);
                 return;
             }
             _ => placement.phase = Phase::Stopping(None),
@@ -254,6 +274,7 @@
         let takes_effect =
             is_current || (step_spec.speculative && kind == EndKind::Done && run <= task_state.run);
         if !takes_effect {
+            log::info!(target: "decision", "end task={task} run={run} worker={incarnation} kind={kind:?} outcome=stale");
             if exhausted {
                 self.finish_job(now, key.job, JobState::Failed);
             }
@@ -301,7 +322,7 @@
             }
             self.rerank_dependents(now, key);
         } else {
-            self.stop_gang(key);
+            self.stop_gang(now, key);
             self.rerank_step(now, key);
         }
     }
@@ -327,7 +348,7 @@
             self.adjust_queued_jobs(&queue, -1);
         }
         for task in placed {
-            self.stop_task(task);
+            self.stop_task(now, task);
         }
         self.batch.progress.insert(key);
         self.batch.effects.push(Effect::Publish(key));
@@ -355,7 +376,7 @@
     ) {
         let draining = self.workers.get(incarnation).is_some_and(|w| w.entry.draining);
         let fate = if draining { WorkerFate::Left } else { WorkerFate::Crashed };
-        self.end_incarnation(now, incarnation, fate, reason);
+        self.end_incarnation(now, incarnation, fate, EndProof::Replaced, reason);
     }
 
     /// Removes a worker incarnation that has ended; its runs are lost.
@@ -364,6 +385,7 @@
         now: Timestamp,
         incarnation: &WorkerIncarnation,
         fate: WorkerFate,
+        proof: EndProof,
         reason: &str,
     ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
@@ -371,7 +393,7 @@
         if fate == WorkerFate::Crashed {
             self.counters.crashed_workers += 1;
         }
-        self.lose_runs(now, incarnation, fate);
+        self.lose_runs(now, incarnation, fate, proof);
         self.workers.remove(incarnation);
     }
 }
