Reproduce two runs of a task at once in the simulated cluster

The simulated cluster hid what comes apart on real machines. A worker that left ended its answers, entry and runs in one moment, an order for an earlier incarnation was refused though it names only the id, the clock of a restarted worker went on, and the timer of a lease never fired late. A done run that was acknowledged after its task had started again was not checked.

Leaving workers now end in three steps in any order; a later incarnation executes the calls for the earlier one, with its clock anew and leases of up to 10 s; clocks can be slow and timers late; calls can be executed late, and answers can be lost or overtake each other one by one. All former checks stay, and an end acknowledged after a later start fails too.

--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -31,6 +31,8 @@
 const STOP_DURATION_MS: u64 = 300;
 /// Largest record that the store takes, bytes; it refuses a larger one for ever.
 const MAX_RECORD_BYTES: usize = 262_144;
+/// Longest lease that a worker takes; defined by the platform.
+const MAX_LEASE_MS: u64 = 10_000;
 /// Starts of a task after its third crash that break its budget.
 const MAX_STARTS_AFTER_CRASHES: u32 = 3;
 /// Capacity of each worker.
@@ -84,6 +86,43 @@
     pub task_deviation: f64,
     /// Standard deviation of a step's duration from its estimate, natural logarithm.
     pub estimate_deviation: f64,
+    /// A call is executed and its answer is lost.
+    pub lost_answer: f64,
+    /// Longest time by which an answer is late, milliseconds; answers overtake each other.
+    pub answer_delay: u64,
+}
+
+/// Call to a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    ExtendLease,
+    Start,
+    Stop,
+    SetPace,
+}
+
+/// What happens to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFault {
+    /// It is not answered and is executed after this time, milliseconds.
+    ExecutedAfter(u64),
+    /// It is executed and its answer is lost.
+    AnswerLost,
+    /// It is executed and its answer is late by this time, milliseconds.
+    AnswerAfter(u64),
+}
+
+/// How a worker leaves: times until its parts end, milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Departure {
+    /// Until it answers no more calls.
+    pub answers: u64,
+    /// Until its registry entry is removed.
+    pub entry: u64,
+    /// Until its runs end.
+    pub runs: u64,
+    /// Whether it still receives calls until its runs end.
+    pub one_way: bool,
 }
 
 /// Tasks that crash their workers.
@@ -116,6 +155,30 @@
     tail_target: Option<u64>,
 }
 
+/// Answer to a call that a worker executes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reply {
+    /// It arrives as usual, later by this time, milliseconds.
+    After(u64),
+    /// It is lost; the call fails once it has timed out.
+    Lost,
+    /// The call has failed before.
+    Unwanted,
+}
+
+/// Lease extension that is not answered yet.
+#[derive(Debug)]
+struct PendingReport {
+    epoch: Epoch,
+    /// Incarnation that the call names; it may be an earlier one.
+    called: WorkerIncarnation,
+    /// Time of the answer.
+    until: Timestamp,
+    /// Last acknowledged end.
+    acked_end: u64,
+    reply: Reply,
+}
+
 /// Member of a gang and its worker.
 type Member = (WorkerIncarnation, TaskKey, Run);
 
@@ -126,8 +189,12 @@
     fence: Epoch,
     /// End of the lease on the worker's clock, milliseconds.
     deadline: u64,
-    /// Difference between the worker's clock and simulated time, milliseconds.
-    clock_offset: u64,
+    /// Time at which the worker's clock started, and what it showed, milliseconds.
+    clock_start: (Timestamp, u64),
+    /// Rate of the worker's clock against simulated time.
+    clock_rate: f64,
+    /// Time by which the timer of the lease fires late, milliseconds.
+    timer_delay: u64,
     runs: BTreeMap<(TaskKey, u32), Run>,
     ended: Vec<EndedRun>,
     /// Sequence number of the last ended run.
@@ -136,8 +203,7 @@
     last_lapsed: u64,
     /// Highest run number by task.
     highest_runs: BTreeMap<TaskKey, u32>,
-    /// Epoch of a lease extension that is not answered yet, the time of its answer, and the last acknowledged end.
-    pending_report: Option<(Epoch, Timestamp, u64)>,
+    pending_reports: Vec<PendingReport>,
     unreachable_until: Timestamp,
     /// Whether an unreachable worker still receives calls and only its answers are lost.
     receives_calls: bool,
@@ -145,12 +211,21 @@
     crash_times: BTreeMap<(TaskKey, u32), Timestamp>,
     /// Whether the worker has crashed and waits for its restart.
     is_down: bool,
+    /// When the parts of a leaving worker end: its answers, its registry entry and its runs; `None` once they have.
+    departure: [Option<Timestamp>; 3],
+    /// Whether a leaving worker still receives calls.
+    leaves_one_way: bool,
+    /// Whether the worker has removed its registry entry.
+    is_deregistered: bool,
+    /// Whether the process of the worker has ended, so that its address refuses connections.
+    is_gone: bool,
     /// Speed of its runs.
     speed: f64,
 }
 
 impl Worker {
-    fn new(number: u32, started_at: u64) -> Self {
+    /// Creates a worker whose clock shows `clock` milliseconds at `now`.
+    fn new(number: u32, started_at: u64, now: Timestamp, clock: u64) -> Self {
         let entry = WorkerEntry {
             incarnation: WorkerIncarnation::new(&format!("w{number}"), started_at),
             service: "service".into(),
@@ -166,23 +241,36 @@
             entry,
             fence: Epoch(0),
             deadline: 0,
-            clock_offset: u64::from(number) * 1_000,
+            clock_start: (now, clock),
+            clock_rate: 1.0,
+            timer_delay: 0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             last_end: 0,
             last_lapsed: 0,
             highest_runs: BTreeMap::new(),
-            pending_report: None,
+            pending_reports: Vec::new(),
             unreachable_until: Timestamp::ZERO,
             receives_calls: false,
             crash_times: BTreeMap::new(),
             is_down: false,
+            departure: [None; 3],
+            leaves_one_way: false,
+            is_deregistered: false,
+            is_gone: false,
             speed: 1.0,
         }
     }
 
     fn clock(&self, now: Timestamp) -> u64 {
-        now.as_micros() / 1_000 + self.clock_offset
+        let (start, shown) = self.clock_start;
+        let elapsed = now.since(start).mul_f64(self.clock_rate);
+        shown + u64::try_from(elapsed.as_millis()).expect("simulated time fits in 64 bits")
+    }
+
+    /// Extends the lease, at most to the longest one that the platform allows.
+    fn extend_lease(&mut self, now: Timestamp, deadline: u64) {
+        self.deadline = self.deadline.max(deadline.min(self.clock(now) + MAX_LEASE_MS));
     }
 
     fn end_run(&mut self, task: TaskKey, run: u32, kind: EndKind) {
@@ -215,8 +303,10 @@
 
 #[derive(Debug)]
 enum Delivery {
-    Order(Epoch, Action),
+    Order(Epoch, Action, Reply),
     Event(Epoch, Event),
+    /// Removal of the registry entry of a worker.
+    Unlisting(Epoch, Arc<str>),
     /// Registry entry of the worker of this number, as it is on arrival.
     Registration(Epoch, usize),
     /// Answer to a recommendation request, by the host that made it and its number there.
@@ -244,6 +334,8 @@
     /// Number of started runs by job.
     pub starts: BTreeMap<JobKey, u32>,
     pub store_up: bool,
+    /// Faults of the next calls of a kind to a worker, in this order.
+    call_faults: Vec<(Arc<str>, CallKind, CallFault)>,
     /// Longest time after which a new owner, or a new incarnation of a worker, sees the registry entry, milliseconds.
     pub max_registry_delay: u64,
     /// Number of recommendation requests.
@@ -266,6 +358,10 @@
     workers: BTreeMap<WorkerIncarnation, Worker>,
     specs: BTreeMap<JobKey, Arc<JobSpec>>,
     done_tasks: BTreeSet<TaskKey>,
+    /// When each run ended as done.
+    done_runs: BTreeMap<(TaskKey, u32), Timestamp>,
+    /// Last start of each task, with its run number.
+    last_starts: BTreeMap<TaskKey, (Timestamp, u32)>,
     /// Done tasks whose end the owner has acknowledged before the worker's lease expired.
     acknowledged_tasks: BTreeSet<TaskKey>,
     accepted: BTreeSet<JobKey>,
@@ -292,6 +388,7 @@
             visible_states: BTreeMap::new(),
             starts: BTreeMap::new(),
             store_up: true,
+            call_faults: Vec::new(),
             max_registry_delay: 0,
             requests: 0,
             first_requests: BTreeMap::new(),
@@ -306,6 +403,8 @@
             workers: BTreeMap::new(),
             specs: BTreeMap::new(),
             done_tasks: BTreeSet::new(),
+            done_runs: BTreeMap::new(),
+            last_starts: BTreeMap::new(),
             acknowledged_tasks: BTreeSet::new(),
             accepted: BTreeSet::new(),
             complete_gangs: BTreeSet::new(),
@@ -314,7 +413,8 @@
             last_delivery: 0,
         };
         for number in 0..workers {
-            let worker = Worker::new(number, 1);
+            let clock = cluster.now.as_micros() / 1_000 + u64::from(number) * 1_000;
+            let worker = Worker::new(number, 1, cluster.now, clock);
             cluster.workers.insert(worker.entry.incarnation.clone(), worker);
         }
         cluster.take_over(true);
@@ -436,13 +536,20 @@
         u32::try_from(runs).expect("few runs")
     }
 
-    /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs.
+    /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs and of earlier
+    /// epochs, and whose clock starts anew.
     pub fn restart_worker(&mut self, number: usize) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let mut worker = Worker::new(id, incarnation.started_at + 1);
-        worker.entry.capacity = previous.map_or(WORKER_CAPACITY, |w| w.entry.capacity);
+        let mut worker = Worker::new(id, incarnation.started_at + 1, self.now, 0);
+        if let Some(previous) = previous {
+            worker.entry.capacity = previous.entry.capacity;
+            for PendingReport { epoch, called, .. } in previous.pending_reports {
+                let broken = Event::LeaseAnswered(called, Err(OrderError::Silent));
+                self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Event(epoch, broken));
+            }
+        }
         self.workers.insert(worker.entry.incarnation.clone(), worker);
         self.register(number);
     }
@@ -454,7 +561,7 @@
         self.workers.remove(&incarnation);
         self.handle_event(Event::WorkerUnlisted(incarnation.id.clone(), Unlisting::Unexplained));
         let id: u32 = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let mut worker = Worker::new(id + 100, incarnation.started_at + 1);
+        let mut worker = Worker::new(id + 100, incarnation.started_at + 1, self.now, 0);
         worker.entry.address = address;
         let replacement = worker.entry.incarnation.clone();
         self.workers.insert(replacement.clone(), worker);
@@ -481,9 +588,62 @@
             worker.is_down = true;
             worker.receives_calls = false;
             worker.unreachable_until = now + Duration::from_millis(down);
-            if let Some((_, until, _)) = &mut worker.pending_report {
-                *until = now;
+            worker.pending_reports.iter_mut().for_each(|p| p.until = now);
+        }
+    }
+
+    /// Sets the rate of a worker's clock, and by how many milliseconds the timer of its lease fires late.
+    pub fn set_clock(&mut self, number: usize, rate: f64, timer_delay: u64) {
+        let now = self.now;
+        if let Some(worker) = self.workers.values_mut().nth(number) {
+            worker.clock_start = (now, worker.clock(now));
+            worker.clock_rate = rate;
+            worker.timer_delay = timer_delay;
+        }
+    }
+
+    /// Makes a worker leave, whose answers, registry entry and runs end one after the other.
+    pub fn leave_worker(&mut self, number: usize, departure: Departure) {
+        let now = self.now;
+        if let Some(worker) = self.workers.values_mut().nth(number) {
+            let parts = [departure.answers, departure.entry, departure.runs];
+            worker.departure = parts.map(|millis| Some(now + Duration::from_millis(millis)));
+            worker.leaves_one_way = departure.one_way;
+        }
+        self.advance_departures();
+    }
+
+    /// Ends the parts of leaving workers whose time has come.
+    fn advance_departures(&mut self) {
+        let now = self.now;
+        let mut removed = Vec::new();
+        for (incarnation, worker) in &mut self.workers {
+            let leaves = worker.departure.iter().any(Option::is_some);
+            let [answers, entry, runs] = &mut worker.departure;
+            if answers.take_if(|at| *at <= now).is_some() {
+                worker.unreachable_until = Timestamp::MAX;
+                worker.receives_calls = worker.leaves_one_way;
+                worker.pending_reports.iter_mut().for_each(|p| p.until = now);
+            }
+            if entry.take_if(|at| *at <= now).is_some() {
+                worker.is_deregistered = true;
+                removed.push(incarnation.id.clone());
+            }
+            if runs.take_if(|at| *at <= now).is_some() {
+                worker.runs.clear();
             }
+            if leaves && worker.departure.iter().all(Option::is_none) {
+                worker.is_gone = true;
+                worker.receives_calls = false;
+            }
+        }
+        for id in removed {
+            let delay = if self.max_registry_delay == 0 {
+                0
+            } else {
+                self.rng.random_range(0..=self.max_registry_delay)
+            };
+            self.deliver_after(delay, Delivery::Unlisting(self.epoch, id));
         }
     }
 
@@ -574,17 +734,37 @@
                 assert!(largest <= MAX_RECORD_BYTES, "a record of {largest} bytes is refused for ever");
                 self.write = Some((self.now + Duration::from_millis(WRITE_MS), entries));
             }
+            Action::Start { .. }
+            | Action::Stop { .. }
+            | Action::SetPace { .. }
+            | Action::ExtendLease { .. }
+                if self.call_faults.iter().any(|fault| concerns(fault, &action)) =>
+            {
+                let position = self.call_faults.iter().position(|f| concerns(f, &action));
+                let (_, _, fault) = self.call_faults.remove(position.expect("a fault is due"));
+                let (delay, reply) = match fault {
+                    CallFault::ExecutedAfter(delay) => {
+                        let no_answer = Delivery::Event(epoch, unanswered(&action));
+                        self.deliver_after(ORDER_TIMEOUT_MS, no_answer);
+                        (delay, Reply::Unwanted)
+                    }
+                    CallFault::AnswerLost => (CALL_ROUND_TRIP_MS / 2, Reply::Lost),
+                    CallFault::AnswerAfter(delay) => (CALL_ROUND_TRIP_MS / 2, Reply::After(delay)),
+                };
+                self.deliver_after(delay, Delivery::Order(epoch, action, reply));
+            }
             Action::Start { .. } | Action::Stop { .. } if self.rng.random_bool(self.faults.delayed_order) => {
                 let no_answer = unanswered(&action);
                 let delay = self.rng.random_range(2_000..12_000);
-                self.deliver_after(delay, Delivery::Order(epoch, action));
+                self.deliver_after(delay, Delivery::Order(epoch, action, Reply::After(0)));
                 self.deliver_after(ORDER_TIMEOUT_MS, Delivery::Event(epoch, no_answer));
             }
             Action::Start { .. }
             | Action::Stop { .. }
             | Action::SetPace { .. }
             | Action::ExtendLease { .. } => {
-                self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Order(epoch, action));
+                let reply = self.random_reply();
+                self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Order(epoch, action, reply));
             }
             Action::RequestRecommendation(request) if self.request_queue.is_some() => {
                 self.requests += 1;
@@ -605,6 +785,31 @@
         }
     }
 
+    /// Returns what happens to the answer to a call.
+    fn random_reply(&mut self) -> Reply {
+        let Faults { lost_answer, answer_delay, .. } = self.faults;
+        if lost_answer > 0.0 && self.rng.random_bool(lost_answer) {
+            Reply::Lost
+        } else if answer_delay > 0 {
+            Reply::After(self.rng.random_range(0..=answer_delay))
+        } else {
+            Reply::After(0)
+        }
+    }
+
+    /// Delivers the answer to a call, or its failure.
+    fn answer(&mut self, epoch: Epoch, event: Event, reply: Reply) {
+        match reply {
+            Reply::After(delay) => {
+                self.deliver_after(CALL_ROUND_TRIP_MS / 2 + delay, Delivery::Event(epoch, event));
+            }
+            Reply::Lost => {
+                self.deliver_after(ORDER_TIMEOUT_MS, Delivery::Event(epoch, without_answer(event)));
+            }
+            Reply::Unwanted => {}
+        }
+    }
+
     /// Starts the recommendation requests for which a host is free.
     fn start_requests(&mut self) {
         let epoch = self.epoch;
@@ -654,6 +859,13 @@
         }
     }
 
+    /// Injects a fault into the next call of a kind to a worker.
+    pub fn fault_next_call(&mut self, number: usize, kind: CallKind, fault: CallFault) {
+        if let Some(incarnation) = self.workers.keys().nth(number) {
+            self.call_faults.push((incarnation.id.clone(), kind, fault));
+        }
+    }
+
     /// Makes a worker unreachable for `millis`, in both directions or only for its answers.
     pub fn disconnect(&mut self, number: usize, millis: u64, one_way: bool) {
         let until = self.now + Duration::from_millis(millis);
@@ -700,11 +912,11 @@
     fn advance_workers(&mut self) {
         let (now, epoch, checkpoint_bytes) = (self.now, self.epoch, self.checkpoint_bytes);
         self.advance_crashes();
+        self.advance_departures();
         self.advance_gangs();
         let mut reports = Vec::new();
-        for (incarnation, worker) in &mut self.workers {
-            let clock = worker.clock(now);
-            if worker.deadline <= clock {
+        for worker in self.workers.values_mut() {
+            if worker.deadline + worker.timer_delay <= worker.clock(now) {
                 worker.last_lapsed = worker.last_end;
                 for (task, run) in worker.runs.keys().copied().collect::<Vec<_>>() {
                     worker.end_run(task, run, EndKind::Lapsed);
@@ -717,29 +929,33 @@
                 worker.end_run(task, run, kind);
                 if kind == EndKind::Done {
                     self.done_tasks.insert(task);
+                    self.done_runs.insert((task, run), now);
                 }
             }
-            if let Some((from, until, last)) = worker.pending_report
-                && (until <= now || worker.ended.iter().any(|e| e.number > last))
-            {
-                worker.pending_report = None;
+            let ended = &worker.ended;
+            let is_due =
+                |p: &mut PendingReport| p.until <= now || ended.iter().any(|e| e.number > p.acked_end);
+            let due: Vec<_> = worker.pending_reports.extract_if(.., is_due).collect();
+            for PendingReport { epoch, called, reply, .. } in due {
                 if worker.unreachable_until <= now {
                     let report = worker.report(now, checkpoint_bytes);
-                    reports.push((from, Event::LeaseAnswered(incarnation.clone(), Ok(report))));
-                } else {
-                    reports.push((from, Event::LeaseAnswered(incarnation.clone(), Err(OrderError::Silent))));
+                    reports.push((epoch, Event::LeaseAnswered(called, Ok(report)), reply));
+                } else if reply != Reply::Unwanted {
+                    let silent = Event::LeaseAnswered(called, Err(OrderError::Silent));
+                    reports.push((epoch, silent, Reply::After(0)));
                 }
             }
         }
-        for (from, report) in reports {
+        for (from, report, reply) in reports {
             if from == epoch {
-                self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Event(from, report));
+                self.answer(from, report, reply);
             }
         }
     }
 
     /// Ends gang runs: members make progress once the last one has started, and end together.
     fn advance_gangs(&mut self) {
+        let now = self.now;
         let mut gangs: BTreeMap<(StepKey, u32), Vec<Member>> = BTreeMap::new();
         for (incarnation, worker) in &self.workers {
             for ((task, run), state) in worker.runs.iter().filter(|(_, r)| r.in_gang) {
@@ -777,6 +993,7 @@
                 };
                 if kind == EndKind::Done {
                     self.done_tasks.extend((0..spec.tasks).map(|index| step.task(index)));
+                    self.done_runs.insert((task, run), now);
                 }
                 if let Some(worker) = self.workers.get_mut(&incarnation) {
                     worker.end_run(task, run, kind);
@@ -793,11 +1010,17 @@
                 }
             }
             Delivery::Registration(epoch, number) => {
-                let entry = self.workers.values().nth(number).map(|w| w.entry.clone());
+                let worker = self.workers.values().nth(number).filter(|w| !w.is_deregistered);
+                let entry = worker.map(|w| w.entry.clone());
                 if let Some(entry) = entry.filter(|_| epoch == self.epoch) {
                     self.handle_event(Event::Worker(entry));
                 }
             }
+            Delivery::Unlisting(epoch, id) => {
+                if epoch == self.epoch {
+                    self.handle_event(Event::WorkerUnlisted(id, Unlisting::Deregistered));
+                }
+            }
             Delivery::Recommendation(epoch, host, number) => {
                 let Some(request) = self.request_queue.as_mut().and_then(|q| q.complete(host, number)) else {
                     return;
@@ -809,39 +1032,55 @@
                 }
                 self.start_requests();
             }
-            Delivery::Order(epoch, action) => {
-                let incarnation = target_worker(&action);
-                let address = target_address(&action);
-                if !self.workers.values().any(|w| w.entry.address == address) {
-                    let no_answer = Delivery::Event(epoch, unanswered(&action));
-                    return self.deliver_after(ORDER_TIMEOUT_MS, no_answer);
-                }
-                let addressed = self.workers.get(&incarnation).filter(|w| w.entry.address == address);
-                let Some(worker) = addressed else {
-                    let error = failed_order(&action, OrderError::OtherIncarnation);
-                    return self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Event(epoch, error));
-                };
-                if worker.unreachable_until > self.now && !worker.receives_calls {
-                    self.deliver_after(ORDER_TIMEOUT_MS, Delivery::Event(epoch, unanswered(&action)));
-                    return;
-                }
-                let unreachable = worker.unreachable_until > self.now;
-                if let Some(event) = self.execute(epoch, action.clone()) {
-                    let crash_at =
-                        self.workers.get(&incarnation).and_then(|w| w.crash_times.values().min().copied());
-                    let unreachable = unreachable || crash_at.is_some_and(|at| at <= self.now);
-                    let event = if unreachable { unanswered(&action) } else { event };
-                    let delay = if unreachable { ORDER_TIMEOUT_MS } else { CALL_ROUND_TRIP_MS / 2 };
-                    self.deliver_after(delay, Delivery::Event(epoch, event));
-                }
+            Delivery::Order(epoch, action, reply) => self.deliver_order(epoch, action, reply),
+        }
+    }
+
+    /// Delivers a call to the worker at its address. It names only the id, so that a later incarnation executes it.
+    fn deliver_order(&mut self, epoch: Epoch, action: Action, reply: Reply) {
+        let named = target_worker(&action);
+        let address = target_address(&action);
+        let no_answer = Delivery::Event(epoch, unanswered(&action));
+        let wants_answer = reply != Reply::Unwanted;
+        let Some(worker) = self.workers.values().find(|w| w.entry.address == address) else {
+            return self.deliver_after(ORDER_TIMEOUT_MS, no_answer);
+        };
+        let incarnation = worker.entry.incarnation.clone();
+        if worker.is_gone {
+            if wants_answer {
+                self.deliver_after(CALL_ROUND_TRIP_MS, no_answer);
             }
+            return;
+        }
+        if incarnation.id != named.id {
+            return self.answer(epoch, failed_order(&action, OrderError::OtherIncarnation), reply);
+        }
+        let unreachable = worker.unreachable_until > self.now;
+        if unreachable && !worker.receives_calls {
+            if wants_answer {
+                self.deliver_after(ORDER_TIMEOUT_MS, no_answer);
+            }
+            return;
+        }
+        if let Some(event) = self.execute(epoch, &incarnation, action, reply) {
+            let crash_at = self.workers.get(&incarnation).and_then(|w| w.crash_times.values().min().copied());
+            let unreachable = unreachable || crash_at.is_some_and(|at| at <= self.now);
+            let reply = if unreachable && wants_answer { Reply::Lost } else { reply };
+            self.answer(epoch, event, reply);
         }
     }
 
-    fn execute(&mut self, epoch: Epoch, action: Action) -> Option<Event> {
+    /// Executes a call on a worker; returns the answer unless it is given later.
+    fn execute(
+        &mut self,
+        epoch: Epoch,
+        executing: &WorkerIncarnation,
+        action: Action,
+        reply: Reply,
+    ) -> Option<Event> {
         let now = self.now;
         let incarnation = target_worker(&action);
-        let worker = self.workers.get_mut(&incarnation)?;
+        let worker = self.workers.get_mut(executing)?;
         let fenced = epoch < worker.fence;
         worker.fence = worker.fence.max(epoch);
         match action {
@@ -853,10 +1092,26 @@
                     (worker.last_lapsed + 1..=acked_end).contains(&e.number) && e.kind == EndKind::Done
                 }) {
                     self.acknowledged_tasks.insert(end.task);
+                    let (task, run) = (end.task, end.run);
+                    let spec =
+                        self.specs.get(&task.step.job).and_then(|s| s.steps.get(task.step.step as usize));
+                    let done_at = self.done_runs.get(&(task, run)).copied().unwrap_or(now);
+                    let later = self.last_starts.get(&task).filter(|(at, _)| *at > done_at);
+                    assert!(
+                        later.is_none() || spec.is_none_or(|s| s.speculative),
+                        "{task} started again as {later:?} after run {run} on {executing} was done"
+                    );
                 }
                 worker.ended.retain(|e| e.number > acked_end);
-                worker.deadline = worker.deadline.max(deadline.unwrap_or_default());
-                worker.pending_report = Some((epoch, now + wait, acked_end));
+                worker.extend_lease(now, deadline.unwrap_or_default());
+                let until = now + wait;
+                worker.pending_reports.push(PendingReport {
+                    epoch,
+                    called: incarnation,
+                    until,
+                    acked_end,
+                    reply,
+                });
                 None
             }
             Action::Stop { task, run, .. } => {
@@ -890,6 +1145,7 @@
                 } else if worker.runs.contains_key(&(task, run)) {
                     return Some(Event::Started(task, run, incarnation, Ok(())));
                 } else if worker.highest_runs.get(&task).is_some_and(|highest| run <= *highest) {
+                    worker.extend_lease(now, deadline);
                     Some(OrderError::Old)
                 } else if deadline <= worker.clock(now) {
                     Some(OrderError::Late)
@@ -899,8 +1155,8 @@
                 if let Some(error) = error {
                     return Some(Event::Started(task, run, incarnation, Err(error)));
                 }
-                worker.deadline = worker.deadline.max(deadline);
-                self.start_run(&incarnation, task, run, &spec);
+                worker.extend_lease(now, deadline);
+                self.start_run(executing, task, run, &spec);
                 Some(Event::Started(task, run, incarnation, Ok(())))
             }
             _ => None,
@@ -929,6 +1185,7 @@
             assert!(predecessor_done, "{task} starts before step {after} is done");
         }
         *self.starts.entry(task.step.job).or_default() += 1;
+        self.last_starts.insert(task, (self.now, run));
         let factor = self.duration_factor(task);
         let kind = if self.rng.random_bool(self.faults.failed_run) { EndKind::Failed } else { EndKind::Done };
         let worker = self.workers.get_mut(incarnation).expect("known worker");
@@ -1045,6 +1302,30 @@
         }
     }
 
+    /// Advances simulated time until a start order of a job is sent; returns the number of its worker.
+    pub fn advance_until_ordered(&mut self, job: u64) -> usize {
+        loop {
+            let is_start = |delivery: &Delivery| match delivery {
+                Delivery::Order(_, Action::Start { task, incarnation, .. }, _) => {
+                    (task.step.job == JobKey(job)).then(|| incarnation.clone())
+                }
+                _ => None,
+            };
+            if let Some(ordered) = self.deliveries.values().find_map(is_start) {
+                return self.workers.keys().position(|i| *i == ordered).expect("known worker");
+            }
+            self.advance(TIME_STEP_MS);
+        }
+    }
+
+    /// Advances simulated time until the faults of calls to a worker have taken place.
+    pub fn advance_until_called(&mut self, number: usize) {
+        let id = self.workers.keys().nth(number).expect("known worker").id.clone();
+        while self.call_faults.iter().any(|(of, _, _)| *of == id) {
+            self.advance(TIME_STEP_MS);
+        }
+    }
+
     /// Returns whether the owner has accepted a job.
     pub fn is_accepted(&self, job: u64) -> bool {
         self.accepted.contains(&JobKey(job))
@@ -1104,6 +1385,21 @@
     }
 }
 
+/// Whether a fault is for a call.
+fn concerns((id, kind, _): &(Arc<str>, CallKind, CallFault), action: &Action) -> bool {
+    *kind == call_kind(action) && *id == target_worker(action).id
+}
+
+fn call_kind(action: &Action) -> CallKind {
+    match action {
+        Action::ExtendLease { .. } => CallKind::ExtendLease,
+        Action::Start { .. } => CallKind::Start,
+        Action::Stop { .. } => CallKind::Stop,
+        Action::SetPace { .. } => CallKind::SetPace,
+        other => unreachable!("{other:?} is no call to a worker"),
+    }
+}
+
 fn target_address(action: &Action) -> &str {
     match action {
         Action::ExtendLease { address, .. }
@@ -1119,6 +1415,18 @@
     failed_order(action, OrderError::Silent)
 }
 
+/// Returns the event that follows a call whose answer is lost.
+fn without_answer(answer: Event) -> Event {
+    let error = Err(OrderError::Silent);
+    match answer {
+        Event::LeaseAnswered(incarnation, _) => Event::LeaseAnswered(incarnation, Err(OrderError::Silent)),
+        Event::Started(task, run, incarnation, _) => Event::Started(task, run, incarnation, error),
+        Event::Stopped(task, run, incarnation, _) => Event::Stopped(task, run, incarnation, error),
+        Event::PaceAnswered(task, run, incarnation, _) => Event::PaceAnswered(task, run, incarnation, error),
+        other => unreachable!("{other:?} is no answer of a worker"),
+    }
+}
+
 /// Returns the event that follows an order that failed with `error`.
 fn failed_order(action: &Action, error: OrderError) -> Event {
     match action.clone() {
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod request_queue;
 mod retry;
+mod run_ends;
 mod shares;
 mod speeds;
 mod takeover;
--- /dev/null
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -0,0 +1,200 @@
+//! When a run counts as over although the worker's processes, entry, clock and calls come apart. The cluster fails a test in
+//! which two runs of a task overlap, or in which a task starts again after an end that is taken note of.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use yuccahoist::shard::JobKey;
+use yuccahoist::shard::message::Request;
+use yuccahoist::shard::record::JobState;
+
+use super::cluster::{CallFault, CallKind, Departure, SimulatedCluster, spec};
+
+/// Duration of the tasks, milliseconds; longer than a lease.
+const TASK_MS: u64 = 20_000;
+/// Time after which all tasks of a test are done: the longest lease, the task, and the calls, milliseconds.
+const SETTLE_MS: u64 = 34_000;
+
+/// Returns a cluster of three workers with a job of two tasks, and the first worker that runs one.
+fn busy_cluster() -> (SimulatedCluster, usize) {
+    let mut cluster = SimulatedCluster::new(1, 3);
+    cluster.advance(100);
+    cluster.submit(1, spec(2, TASK_MS));
+    cluster.advance(1_000);
+    let worker = cluster.workers_of(1)[0];
+    (cluster, worker)
+}
+
+/// Plays schedules, each with its description, and fails with those that break a rule.
+fn play_all(schedules: impl IntoIterator<Item = (String, Box<dyn FnOnce()>)>) {
+    let mut broken = Vec::new();
+    for (description, play) in schedules {
+        if let Err(cause) = catch_unwind(AssertUnwindSafe(play)) {
+            let cause = cause.downcast_ref::<String>().cloned().unwrap_or_default();
+            broken.push(format!("{description}: {cause}"));
+        }
+    }
+    assert!(broken.is_empty(), "{} schedules break a rule:\n{}", broken.len(), broken.join("\n"));
+}
+
+/// A draining worker counted as ended once it did not answer and had removed its entry, while its runs were active.
+#[test]
+fn runs_of_a_leaving_worker_block_their_tasks_until_they_end() {
+    struct Case {
+        name: &'static str,
+        departure: Departure,
+    }
+    let base = Departure { answers: 0, entry: 0, runs: 1_000, one_way: false };
+    let cases = [
+        Case { name: "connections, entry, runs", departure: Departure { entry: 100, ..base } },
+        Case { name: "entry, connections, runs", departure: Departure { answers: 100, ..base } },
+        Case { name: "runs last 100 ms longer", departure: Departure { runs: 100, ..base } },
+        Case { name: "only answers end", departure: Departure { one_way: true, ..base } },
+    ];
+    play_all(cases.map(|case| {
+        let play = move || {
+            let (mut cluster, worker) = busy_cluster();
+            cluster.set_draining(worker, true);
+            cluster.advance(2_000);
+            cluster.leave_worker(worker, case.departure);
+            cluster.advance(SETTLE_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (format!("{}, {:?}", case.name, case.departure), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
+/// A start order names only the id of a worker. The later incarnation executed it, and the task started elsewhere as well.
+#[test]
+fn order_executed_by_a_restarted_worker_is_not_doubled() {
+    struct Case {
+        name: &'static str,
+        /// Time after which the start order is executed; it is answered if that is shorter than the time of a call.
+        executed_after: Option<u64>,
+        /// Time from the submission to the restart of the worker, milliseconds.
+        restart_after: u64,
+        /// Longest delay of the registry entry of the later incarnation, milliseconds.
+        registry_delay: u64,
+    }
+    let cases = [
+        Case { name: "in flight at the restart", executed_after: None, restart_after: 0, registry_delay: 0 },
+        Case {
+            name: "in flight, entry is late",
+            executed_after: None,
+            restart_after: 0,
+            registry_delay: 2_000,
+        },
+        Case {
+            name: "executed late, the restart is known",
+            executed_after: Some(3_000),
+            restart_after: 200,
+            registry_delay: 0,
+        },
+        Case {
+            name: "executed late, before the restart is known",
+            executed_after: Some(700),
+            restart_after: 690,
+            registry_delay: 2_000,
+        },
+    ];
+    play_all(cases.map(|case| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.advance(100);
+            cluster.max_registry_delay = case.registry_delay;
+            if let Some(millis) = case.executed_after {
+                let fault = CallFault::ExecutedAfter(millis);
+                (0..2).for_each(|worker| cluster.fault_next_call(worker, CallKind::Start, fault));
+            }
+            cluster.submit(1, spec(1, TASK_MS));
+            let worker = cluster.advance_until_ordered(1);
+            cluster.advance(case.restart_after);
+            cluster.restart_worker(worker);
+            cluster.advance(SETTLE_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (case.name.to_owned(), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
+/// The lease was counted to the millisecond, so that the runs of a worker that kills them late overlapped with the next ones.
+#[test]
+fn late_lease_timer_does_not_double_a_run() {
+    let delays = (0..=100).step_by(20);
+    let cases = [1.0, 0.98].into_iter().flat_map(|rate| delays.clone().map(move |delay| (rate, delay)));
+    play_all(cases.map(|(rate, timer_delay)| {
+        let play = move || {
+            let (mut cluster, worker) = busy_cluster();
+            cluster.set_clock(worker, rate, timer_delay);
+            cluster.advance(2_000);
+            cluster.disconnect(worker, 60_000, false);
+            cluster.advance(SETTLE_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+            assert!(cluster.starts[&JobKey(1)] > 2, "the runs of the worker did not start elsewhere");
+        };
+        let description = format!("clock rate {rate}, timer {timer_delay} ms late");
+        (description, Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
+/// A lease extension for the earlier incarnation extended the lease of the later one further than the owner knew.
+#[test]
+fn extension_for_an_earlier_incarnation_counts_in_the_lease_of_the_later() {
+    play_all([1_000, 2_000, 3_000].map(|executed_after| {
+        let play = move || {
+            let (mut cluster, worker) = busy_cluster();
+            cluster.advance(5_000);
+            let fault = CallFault::ExecutedAfter(executed_after);
+            cluster.fault_next_call(worker, CallKind::ExtendLease, fault);
+            cluster.advance_until_called(worker);
+            cluster.restart_worker(worker);
+            cluster.advance(300);
+            cluster.submit(2, spec(8, TASK_MS));
+            cluster.advance(3_000);
+            cluster.disconnect(worker, 60_000, false);
+            cluster.advance(SETTLE_MS);
+        };
+        (format!("executed after {executed_after} ms"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
+/// A lease extension for the earlier incarnation acknowledged an end of the later one that the owner had not received.
+#[test]
+fn extension_for_an_earlier_incarnation_acknowledges_no_end_of_the_later() {
+    let mut cluster = SimulatedCluster::new(1, 1);
+    cluster.advance(100);
+    cluster.submit(1, spec(4, 300));
+    cluster.advance(1_000);
+    cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(2_000));
+    cluster.advance_until_called(0);
+    cluster.restart_worker(0);
+    cluster.advance(1_000);
+    cluster.submit(2, spec(4, 500));
+    cluster.advance(100);
+    cluster.disconnect(0, 1_500, true);
+    cluster.advance(5_000);
+    assert_eq!(cluster.starts[&JobKey(2)], 4, "tasks that are done start again");
+}
+
+/// An answer to a start or a stop that is lost, or that newer reports overtake, must not free the task of an active run.
+#[test]
+fn lost_and_overtaken_answers_double_no_run() {
+    let late = (0..590).step_by(10).map(CallFault::AnswerAfter);
+    let faults: Vec<_> = late.chain([CallFault::AnswerLost]).collect();
+    let kinds = [CallKind::Start, CallKind::Stop, CallKind::ExtendLease];
+    let cases = kinds.into_iter().flat_map(|kind| faults.iter().map(move |fault| (kind, *fault)));
+    play_all(cases.map(|(kind, fault)| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.advance(100);
+            (0..2).for_each(|worker| cluster.fault_next_call(worker, kind, fault));
+            cluster.submit(1, spec(4, 300));
+            cluster.submit(2, spec(2, TASK_MS));
+            cluster.advance(400);
+            cluster.call(9, Request::Cancel(JobKey(2), None));
+            cluster.advance(5_000);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+            cluster.check_settled();
+        };
+        (format!("{kind:?} {fault:?}"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
