Let the soak's workers leave step by step, as processes on machines do

Cause: in the stand-in a worker that left ended its runs, its connections and its registry entry in one moment, so no test could tell an owner that takes one for the other.

--- a/yuccahoist_standins/src/platform/fleet.rs
+++ b/yuccahoist_standins/src/platform/fleet.rs
@@ -69,6 +69,8 @@
     faults: FleetFaults,
     rng: StdRng,
     now: u64,
+    /// Time 0 in Unix milliseconds.
+    wall: u64,
     last_starts: BTreeMap<String, u64>,
     /// Tasks with a run that ended as done, acknowledged or not.
     done_tasks: BTreeSet<String>,
@@ -108,6 +110,7 @@
             faults: FleetFaults::default(),
             rng,
             now: 0,
+            wall,
             last_starts: BTreeMap::new(),
             done_tasks: BTreeSet::new(),
             acknowledged_tasks: BTreeSet::new(),
@@ -212,16 +215,24 @@
 
     /// Starts a new incarnation of a worker, without any state of the previous one.
     pub fn restart(&mut self, id: &str) {
+        let (now, wall) = (self.now, self.wall);
+        if let Some(worker) = self.workers.get_mut(id) {
+            *worker = Worker::new(worker.spec.clone(), wall + now, now, worker.clock_percent);
+        }
+    }
+
+    /// Sets how long a worker that drains still serves, milliseconds; `None` ends the draining.
+    pub fn set_draining(&mut self, id: &str, remaining_ms: Option<u64>) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(id) {
-            *worker = Worker::new(worker.spec.clone(), worker.started_at + now, now, worker.clock_percent);
+            worker.drain_end = remaining_ms.map(|remaining| now + remaining);
         }
     }
 
-    /// Sets whether the registry entry of a worker shows it as draining.
-    pub fn set_draining(&mut self, id: &str, draining: bool) {
+    /// Removes a worker from the registry. Its runs stay active until [`Fleet::crash`] or their ends.
+    pub fn deregister(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.is_draining = draining;
+            worker.is_registered = false;
         }
     }
 
--- a/yuccahoist_standins/src/platform/fleet/view.rs
+++ b/yuccahoist_standins/src/platform/fleet/view.rs
@@ -8,14 +8,15 @@
 const MAX_REPORTED_ENDS: usize = 500;
 
 impl Fleet {
-    /// Registry entry of a worker that listens at `address`; `None` while it is down.
+    /// Registry entry of a worker that listens at `address`; `None` while it is down or has removed its entry.
     #[must_use]
     pub fn registry_entry(&self, id: &str, address: &str) -> Option<serde_json::Value> {
-        let worker = self.workers.get(id).filter(|w| w.is_up)?;
+        let worker = self.workers.get(id).filter(|w| w.is_up && w.is_registered)?;
+        let remaining = worker.drain_end.map(|end| end.saturating_sub(self.now));
         Some(serde_json::json!({
             "service": "service", "address": address, "zone": "zone", "version": "v1", "slots": 8,
-            "state": if worker.is_draining { "draining" } else { "ready" },
-            "coldRemainingMs": 0, "born": worker.started_at, "sequence": worker.clock(self.now),
+            "state": if remaining.is_some() { "draining" } else { "ready" },
+            "remainingMs": remaining, "coldRemainingMs": 0, "born": worker.started_at, "sequence": worker.clock(self.now),
             "capacity": { "cpuRequest": worker.spec.cpu_millis, "memMb": worker.spec.memory_mb, "gpuCount": 0 },
             "labels": worker.spec.labels,
         }))
--- a/yuccahoist_standins/src/platform/fleet/worker.rs
+++ b/yuccahoist_standins/src/platform/fleet/worker.rs
@@ -48,7 +48,10 @@
     /// Speed of the worker's clock, percent of real time.
     pub(super) clock_percent: u64,
     pub(super) is_up: bool,
-    pub(super) is_draining: bool,
+    /// Whether the registry still shows the worker; a worker that leaves removes its entry before or after its runs end.
+    pub(super) is_registered: bool,
+    /// Until when a draining worker serves; `None` for one that does not drain.
+    pub(super) drain_end: Option<u64>,
     pub(super) highest_token: u64,
     /// Expiry of the lease on the worker's clock.
     pub(super) lease_expiry: u64,
@@ -70,7 +73,8 @@
             clock_start,
             clock_percent,
             is_up: true,
-            is_draining: false,
+            is_registered: true,
+            drain_end: None,
             highest_token: 0,
             lease_expiry: 0,
             runs: BTreeMap::new(),
--- a/yuccahoist_standins/src/platform/proxy.rs
+++ b/yuccahoist_standins/src/platform/proxy.rs
@@ -10,6 +10,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Delay before a failed call on a listener is repeated.
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Fault that a proxy applies to its connections.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ProxyFault {
@@ -24,10 +27,19 @@
     AnswersStalled,
     /// Every connection is reset.
     Reset,
+    /// Open connections are reset, and the listener is closed.
+    Refused,
     /// Connections that are open now never carry a byte again and stay open; new ones work.
     OpenConnectionsStalled,
 }
 
+impl ProxyFault {
+    /// Whether the fault resets open connections.
+    const fn closes(self) -> bool {
+        matches!(self, Self::Reset | Self::Refused)
+    }
+}
+
 /// Proxy of one server. Dropping it closes the listener and all connections but those that
 /// [`ProxyFault::OpenConnectionsStalled`] has stalled.
 #[derive(Debug)]
@@ -47,7 +59,7 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let fault = watch::Sender::new(ProxyFault::None);
-        let task = tokio::spawn(accept(listener, server, fault.clone()));
+        let task = tokio::spawn(accept_unless_refused(listener, address, server, fault.clone()));
         Ok(Self { address, fault, task })
     }
 
@@ -69,10 +81,34 @@
     }
 }
 
-async fn accept(listener: TcpListener, server: SocketAddr, fault: watch::Sender<ProxyFault>) {
+/// Accepts connections, on a new listener after each fault that closed the one before.
+async fn accept_unless_refused(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    server: SocketAddr,
+    fault: watch::Sender<ProxyFault>,
+) {
+    let mut changes = fault.subscribe();
+    loop {
+        tokio::select! {
+            _ = changes.wait_for(|fault| *fault == ProxyFault::Refused) => drop(listener),
+            () = accept(&listener, server, &fault) => return,
+        }
+        listener = loop {
+            let _ = changes.wait_for(|fault| *fault != ProxyFault::Refused).await;
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(error) => log::warn!("listening at {address} again failed: {error}"),
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        };
+    }
+}
+
+async fn accept(listener: &TcpListener, server: SocketAddr, fault: &watch::Sender<ProxyFault>) {
     loop {
         let Ok((client, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
         tokio::spawn(connection(client, server, fault.subscribe()));
@@ -80,7 +116,7 @@
 }
 
 async fn connection(client: TcpStream, server: SocketAddr, fault: watch::Receiver<ProxyFault>) {
-    if *fault.borrow() == ProxyFault::Reset {
+    if fault.borrow().closes() {
         return reset(&client);
     }
     let Ok(server) = TcpStream::connect(server).await else { return reset(&client) };
@@ -114,7 +150,7 @@
                     return;
                 }
                 let now = *fault.borrow_and_update();
-                if now == ProxyFault::Reset {
+                if now.closes() {
                     return reset(from.as_ref());
                 }
                 if now == ProxyFault::OpenConnectionsStalled && !was_open_stalled {
@@ -130,7 +166,7 @@
         loop {
             let now = *fault.borrow_and_update();
             match now {
-                ProxyFault::Reset => return reset(from.as_ref()),
+                ProxyFault::Reset | ProxyFault::Refused => return reset(from.as_ref()),
                 ProxyFault::Slow(delay) => {
                     tokio::time::sleep(delay).await;
                     break;
--- a/yuccahoist_standins/tests/platform.rs
+++ b/yuccahoist_standins/tests/platform.rs
@@ -167,6 +167,17 @@
             },
             expected: Some("while it runs"),
         },
+        Case {
+            name: "two runs of a task at once, the first on a worker that has removed its entry",
+            step: step(),
+            actions: |f| {
+                send(f, "w-0", &start(0, 0, 1));
+                f.deregister("w-0");
+                assert_eq!(f.registry_entry("w-0", ""), None);
+                send(f, "w-1", &start(0, 0, 2));
+            },
+            expected: Some("while it runs"),
+        },
         Case {
             name: "two runs of a speculative task at once",
             step: Step { speculative: true, ..step() },
