Wait for the lease of a worker that leaves

What callers saw: rule TWICE broken on real processes; tasks of one worker had a second run elsewhere while the first was active. Cause: a worker that drained, had removed its registry entry and did not answer counted as ended, runs and all. An inference from two other facts was taken for a proof. Change: only the worker's report, another incarnation in its place, or its lease ends the runs of a worker. Why an entry is gone is only logged.

--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -99,10 +99,10 @@
     pub remaining: Option<Duration>,
 }
 
-/// Why the registry no longer lists a worker.
+/// Why the registry no longer lists a worker; neither reason proves that its runs have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unlisting {
-    /// The worker removed its own entry, after all its runs had ended.
+    /// The worker removed its own entry as it leaves.
     Deregistered,
     /// The entry has expired or is invalid, or the reason is unknown; the worker may still be active.
     Unexplained,
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -23,6 +23,8 @@
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(1_000);
 /// The same while a run is on probation, whose worker takes no other runs until reports show that it survives.
 const PROBATION_REPORT_WAIT: Duration = Duration::from_millis(100);
+/// The same for a draining worker, whose lease is short.
+const DRAINING_REPORT_WAIT: Duration = Duration::from_millis(500);
 /// Minimum time without progress after which a task counts as stalled: a task of 12 s on a worker that is 6 times as slow
 /// advances by one percent in 0.8 s.
 const MIN_STALL_AGE: Duration = Duration::from_millis(2_500);
@@ -68,12 +70,13 @@
             }
             // An unanswered extension may have been received, so the lease of an unresponsive worker is left to expire.
             let deadline = if may_extend && worker.is_responsive {
-                worker.lease.extend(now, self.options.lease)
+                worker.lease.extend(now, worker.lease_duration(now, self.options.lease))
             } else {
                 None
             };
             let wait = match deadline {
                 Some(_) if !worker.is_responsive || !worker.has_reported => Duration::ZERO,
+                Some(_) if worker.entry.draining => DRAINING_REPORT_WAIT,
                 Some(_) if worker.has_probation() => PROBATION_REPORT_WAIT,
                 Some(_) => MAX_REPORT_WAIT,
                 None => Duration::ZERO,
@@ -90,19 +93,13 @@
         }
     }
 
-    /// Ends the runs of workers that have left or whose lease has expired.
+    /// Ends the runs of workers out of contact whose lease has expired.
     fn end_lost_workers(&mut self, now: Timestamp) {
-        let is_lost = |w: &Worker| w.has_left(now) || w.has_lapsed(now);
-        let incarnations: Vec<WorkerIncarnation> =
-            self.workers.iter().filter(|(_, w)| is_lost(w)).map(|(i, _)| i.clone()).collect();
+        let lapsed = self.workers.iter().filter(|(_, w)| w.has_lapsed(now));
+        let incarnations: Vec<WorkerIncarnation> = lapsed.map(|(i, _)| i.clone()).collect();
         for incarnation in incarnations {
             let Some(worker) = self.workers.get(&incarnation) else { continue };
             let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
-            if worker.has_left(now) {
-                let reason = "deregistered after draining";
-                self.end_incarnation(now, &incarnation, fate, EndProof::Left, reason);
-                continue;
-            }
             if worker.unlisted_since.is_some() {
                 let reason = "missing from the registry, lease expired";
                 self.end_incarnation(now, &incarnation, fate, EndProof::Lapsed, reason);
@@ -140,7 +137,7 @@
             log::info!(target: "decision", "worker worker={incarnation} outcome=draining remaining={:?}", entry.remaining);
         }
         worker.unlisted_since = None;
-        worker.has_deregistered = false;
+        worker.note_stay(now, &entry);
         worker.entry = entry;
     }
 
@@ -163,7 +160,6 @@
             "worker worker={incarnation} outcome=unlisted reason={reason} draining={} lease_ms={lease}",
             worker.entry.draining
         );
-        worker.has_deregistered |= reason == Unlisting::Deregistered;
         if worker.unlisted_since.is_none() {
             worker.unlisted_since = Some(now);
             worker.reregisters_until = reregisters_until;
--- a/yuccahoist/src/shard/run_end.rs
+++ b/yuccahoist/src/shard/run_end.rs
@@ -22,15 +22,13 @@
     Fenced,
     /// Another incarnation answered in place of the worker.
     Replaced,
-    /// The worker drained, removed its registry entry and does not answer.
-    Left,
     /// The lease of the worker has expired.
     Lapsed,
 }
 
 impl EndProof {
     /// All proofs, in the order of their declaration.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 8] = [
         Self::Reported,
         Self::NotSent,
         Self::Refused,
@@ -38,7 +36,6 @@
         Self::Unlisted,
         Self::Fenced,
         Self::Replaced,
-        Self::Left,
         Self::Lapsed,
     ];
 
@@ -53,7 +50,6 @@
             Self::Unlisted => "unlisted",
             Self::Fenced => "fenced",
             Self::Replaced => "replaced",
-            Self::Left => "left",
             Self::Lapsed => "lapsed",
         }
     }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -84,8 +84,8 @@
     pub unlisted_since: Option<Timestamp>,
     /// Until when an unlisted worker may register again; it counts as listed while it answers.
     pub reregisters_until: Timestamp,
-    /// Whether the worker removed its registry entry itself.
-    pub has_deregistered: bool,
+    /// Until when a draining worker stays at least; `None` if it does not drain or says nothing of it.
+    pub stays_until: Option<Timestamp>,
     /// Whether the worker has reported its runs under this owner's epoch.
     pub has_reported: bool,
     /// Whether the worker is responsive, i.e. answered the last call.
@@ -136,7 +136,7 @@
             entry,
             unlisted_since: None,
             reregisters_until: Timestamp::ZERO,
-            has_deregistered: false,
+            stays_until: None,
             has_reported: false,
             is_responsive: true,
             silent_since: None,
@@ -290,15 +290,29 @@
         self.has_reported || now.since(self.last_report) < FIRST_REPORT_TIMEOUT
     }
 
-    /// Whether the worker has left: after draining it removed its registry entry, and it no longer answers.
+    /// Records from an entry how long a draining worker stays at least; the earliest time that it named counts.
+    pub fn note_stay(&mut self, now: Timestamp, entry: &WorkerEntry) {
+        let named = entry.remaining.filter(|_| entry.draining).map(|remaining| now + remaining);
+        let earlier = self.stays_until.filter(|_| entry.draining);
+        self.stays_until = earlier.into_iter().chain(named).min();
+    }
+
+    /// Returns the duration of the next extension of a lease that lasts `longest`.
+    ///
+    /// The lease of a draining worker ends about when it leaves, so that its tasks do not wait long after that.
     #[must_use]
-    pub fn has_left(&self, now: Timestamp) -> bool {
-        self.entry.draining && self.has_deregistered && !self.is_responsive && now >= self.reregisters_until
+    pub fn lease_duration(&self, now: Timestamp, longest: Duration) -> Duration {
+        if !self.entry.draining {
+            return longest;
+        }
+        let stay = self.stays_until.map_or(Duration::ZERO, |until| until.since(now));
+        stay.max(DRAINING_LEASE).min(longest)
     }
 
     /// Whether the lease of a worker out of contact has expired.
     ///
-    /// The lease alone decides: the registry entry of an unreachable worker can expire while its runs are active.
+    /// The lease alone decides: the runs of an unreachable worker may be active when its registry entry has expired, and
+    /// those of a worker that leaves when it has removed its entry and closed its connections.
     #[must_use]
     pub fn has_lapsed(&self, now: Timestamp) -> bool {
         let in_contact = self.is_responsive && self.has_reported && self.unlisted_since.is_none();
@@ -322,5 +336,7 @@
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_200);
 /// Time in which a new worker reports, unless its entry names no worker; a call and its repeat.
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Shortest lease of a draining worker; covers a call that is not answered.
+pub const DRAINING_LEASE: Duration = Duration::from_millis(1_500);
 /// Least remaining lease for a new run: one write to a slow store and one call to the worker must fit into it.
 const MIN_START_LEASE: Duration = Duration::from_millis(500);
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -517,6 +517,14 @@
         }
     }
 
+    /// Makes a worker drain that says how long it stays at least, milliseconds.
+    pub fn drain_for(&mut self, number: usize, remaining: Option<u64>) {
+        if let Some(worker) = self.workers.values_mut().nth(number) {
+            worker.entry.remaining = remaining.map(Duration::from_millis);
+        }
+        self.set_draining(number, true);
+    }
+
     /// Changes whether a worker drains, and registers it.
     pub fn set_draining(&mut self, number: usize, draining: bool) {
         if let Some(worker) = self.workers.values_mut().nth(number) {
