Allow for late timers at the end of a lease

What callers saw: rule TWICE could be broken for some milliseconds after a worker fell silent. Cause: the expiry of a lease allowed for a clock that is 2 % slow and for nothing else. A worker kills its runs when its timer fires, which on a busy machine is later. Change: runs count as over 250 ms after the lease. Tasks of a worker that is lost wait 0.25 s longer.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -9,6 +9,8 @@
 
 /// Slowest rate of a worker's clock, against the owner's; set by the platform, which allows clocks to be 2 % slow.
 pub const MIN_CLOCK_RATE: f64 = 0.98;
+/// Time by which the timer that ends a worker's runs may fire after its lease.
+pub const MAX_TIMER_DELAY: Duration = Duration::from_millis(250);
 /// Age of the last confirmed write after which an owner stops extending leases; a full outage of the store lasts
 /// about 5 s. A new owner waits this long before it counts the lease of an unreachable worker as expired.
 pub const MAX_UNCONFIRMED_AGE: Duration = Duration::from_secs(6);
@@ -77,7 +79,7 @@
     /// Returns the time after which no run that the owner knows of can still be active on the worker.
     #[must_use]
     pub fn expiry(&self) -> Timestamp {
-        self.granted_until().unwrap_or(Timestamp::ZERO).max(self.inherited_until)
+        self.granted_until().unwrap_or(Timestamp::ZERO).max(self.inherited_until) + MAX_TIMER_DELAY
     }
 
     /// Limits the inherited lease to an extension by `duration` at `now`: the worker reported under this owner's epoch, which
