Free no task while the outcome of its run is unknown

What callers would see: a second run of a task beside the first (TWICE). Cause: three answers were taken for the end of a run that are none: a start refused as old, which may answer a copy of an order that was executed; a report that lists a confirmed run neither as active nor as ended; and any error but silence in answer to a stop. Evidence: run_of_unknown_outcome_blocks_its_task failed in 2 of 2 cases before. Change: such a run is stopped, and its task waits until the stop is confirmed and a later report does not list the run; for a run that had started, that report is one from after the longest stop. Result: the test passes.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -17,6 +17,8 @@
 /// Delay before the next call while ended runs are not stored; without it the worker would repeat them at once in every
 /// answer.
 const UNSTORED_ENDS_DELAY: Duration = Duration::from_millis(250);
+/// Longest time from a stop order to the end of the run; defined by the platform.
+const MAX_STOP_TIME: Duration = Duration::from_millis(1_000);
 /// Delay after a call that was not answered; short, because the call has already taken its timeout.
 const UNANSWERED_CALL_DELAY: Duration = Duration::from_millis(100);
 
@@ -265,13 +267,19 @@
                 self.end_displaced(task, run);
                 continue;
             };
-            match placement.phase {
+            let phase = placement.phase;
+            let is_started = self
+                .workers
+                .get(incarnation)
+                .and_then(|w| w.runs.get(&(task, run)))
+                .is_none_or(|r| r.is_started);
+            // The worker may not list a run that it is stopping.
+            let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
+            match phase {
                 Phase::Storing | Phase::Starting | Phase::Stopping(None) => {}
-                Phase::Unconfirmed(at) if at < sent => self.stop_task(now, task),
-                Phase::Running(at) if at < sent => {
-                    self.drop_placement(now, task, run, EndProof::Unlisted);
-                }
-                Phase::Stopping(Some(at)) if at < sent => {
+                // Once stopped, the run can't begin any more.
+                Phase::Unconfirmed(at) | Phase::Running(at) if at <= sent => self.stop_task(now, task),
+                Phase::Stopping(Some(at)) if at + stop_time < sent => {
                     self.drop_placement(now, task, run, EndProof::Stopped);
                 }
                 Phase::Inherited => self.drop_placement(now, task, run, EndProof::Fenced),
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -54,9 +54,10 @@
                 self.pace_started_filler(now, task, run, incarnation);
                 return;
             }
-            Err(OrderError::Silent) => {
+            // A refusal as old may answer a copy of an order that was executed.
+            Err(error @ (OrderError::Silent | OrderError::Old)) => {
                 placement.phase = Phase::Unconfirmed(now);
-                log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome=unanswered");
+                log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome={error:?}");
                 return;
             }
             Err(error) => {
@@ -193,11 +194,12 @@
                 return;
             }
             // Whether the worker has ended is left to its lease extension, whose address is known.
-            Err(OrderError::Silent | OrderError::Unhealthy | OrderError::OtherIncarnation) => {
+            Err(error) => {
+                log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} outcome={error:?}");
                 self.stop_retries.insert((task, run), now + STOP_RETRY_DELAY);
                 return;
             }
-            Ok(()) | Err(_) => {}
+            Ok(()) => {}
         }
         if let Some(placement) = self.placement(task, run, incarnation)
             && placement.phase == Phase::Stopping(None)
--- a/yuccahoist/src/shard/run_end.rs
+++ b/yuccahoist/src/shard/run_end.rs
@@ -16,7 +16,7 @@
     Refused,
     /// The worker confirmed a stop order, and a later report does not list the run.
     Stopped,
-    /// The worker confirmed the start, and a later report does not list the run.
+    /// A report does not list a run that is no longer the current one of its task.
     Unlisted,
     /// The first report under the epoch of this owner does not list the run; the worker refuses earlier epochs since then.
     Fenced,
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -3,9 +3,9 @@
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
-use yuccahoist::shard::JobKey;
-use yuccahoist::shard::message::Request;
+use yuccahoist::shard::message::{OrderError, Report, Request};
 use yuccahoist::shard::record::JobState;
+use yuccahoist::shard::{Event, JobKey, StepKey, TaskKey, WorkerIncarnation};
 
 use super::cluster::{CallFault, CallKind, Departure, SimulatedCluster, spec};
 
@@ -198,3 +198,43 @@
         (format!("{kind:?} {fault:?}"), Box::new(play) as Box<dyn FnOnce()>)
     }));
 }
+
+/// A task was freed although the outcome of its run was unknown.
+#[test]
+fn run_of_unknown_outcome_blocks_its_task() {
+    struct Case {
+        name: &'static str,
+        /// Time from the start order to the event, milliseconds.
+        after: u64,
+        event: fn(TaskKey, WorkerIncarnation) -> Event,
+    }
+    let cases = [
+        Case {
+            name: "a copy of an executed start order is refused",
+            after: 0,
+            event: |task, worker| Event::Started(task, 1, worker, Err(OrderError::Old)),
+        },
+        Case {
+            name: "a report lists the run neither as active nor as ended",
+            after: 1_500,
+            event: |_, worker| {
+                let report = Report { started_at: None, clock: 0, active: Vec::new(), ended: Vec::new() };
+                Event::LeaseAnswered(worker, Ok(report))
+            },
+        },
+    ];
+    play_all(cases.map(|case| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.advance(100);
+            cluster.submit(1, spec(1, TASK_MS));
+            let worker = cluster.advance_until_ordered(1);
+            cluster.advance(case.after);
+            let task = StepKey { job: JobKey(1), occurrence: 0, step: 0 }.task(0);
+            cluster.handle_event((case.event)(task, cluster.entry_of(worker).incarnation));
+            cluster.advance(SETTLE_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (case.name.to_owned(), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
