Follow orders to the next incarnation of a worker

What callers would see: a second run of a task beside the first (TWICE), right after a worker has restarted under its id. Cause: an order names a worker by its id only. A restarted worker executes an order for its earlier incarnation: it knows no epoch yet, and the deadline is far ahead on its new clock. The owner took the restart for the end of all runs of the earlier incarnation, and counted a lease that such an order can exceed. Change: a run that the earlier incarnation never listed is moved to the next one; its report shows the run, or it is stopped there before the task starts again. The lease of the next incarnation includes late orders to the earlier one.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -14,6 +14,8 @@
 /// Age of the last confirmed write after which an owner stops extending leases; a full outage of the store lasts
 /// about 5 s. A new owner waits this long before it counts the lease of an unreachable worker as expired.
 pub const MAX_UNCONFIRMED_AGE: Duration = Duration::from_secs(6);
+/// Time after which an order that was not answered is no longer executed; defined by the platform.
+pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
 /// Default duration of a lease. Covers a takeover and a simultaneous power cut of all hosts of 1.5 s. Shorter than the
 /// platform allows, because the tasks of a dead worker start elsewhere only after its lease.
 pub const DEFAULT_LEASE: Duration = Duration::from_millis(4_000);
@@ -37,13 +39,15 @@
     deadline: Option<u64>,
     /// Until when runs may be active by extensions of previous owners.
     inherited_until: Timestamp,
+    /// Until when runs may be active by orders of this owner to an earlier incarnation of the worker.
+    misdirected_until: Timestamp,
 }
 
 impl Lease {
     /// Returns the lease of a worker that a previous owner may have extended until `inherited_until`.
     #[must_use]
     pub const fn new(inherited_until: Timestamp) -> Self {
-        Self { clock_sample: None, deadline: None, inherited_until }
+        Self { clock_sample: None, deadline: None, inherited_until, misdirected_until: Timestamp::ZERO }
     }
 
     /// Records the worker's `clock`, milliseconds, from an answer received at `now`.
@@ -79,7 +83,8 @@
     /// Returns the time after which no run that the owner knows of can still be active on the worker.
     #[must_use]
     pub fn expiry(&self) -> Timestamp {
-        self.granted_until().unwrap_or(Timestamp::ZERO).max(self.inherited_until) + MAX_TIMER_DELAY
+        let granted = self.granted_until().unwrap_or(Timestamp::ZERO);
+        granted.max(self.inherited_until).max(self.misdirected_until) + MAX_TIMER_DELAY
     }
 
     /// Limits the inherited lease to an extension by `duration` at `now`: the worker reported under this owner's epoch, which
@@ -87,4 +92,11 @@
     pub fn fence_inherited(&mut self, now: Timestamp, duration: Duration) {
         self.inherited_until = self.inherited_until.min(now + max_grant(duration));
     }
+
+    /// Includes extensions by orders to an earlier incarnation, which this owner called until `now`. Such an order can be
+    /// executed late, and its deadline is beyond `longest`, the longest lease that the worker takes.
+    pub fn include_misdirected(&mut self, now: Timestamp, longest: Duration) {
+        let until = now + MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
+        self.misdirected_until = self.misdirected_until.max(until);
+    }
 }
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -16,6 +16,7 @@
 mod recommendations;
 mod recover;
 mod reports;
+mod restarts;
 mod runs;
 mod schedule;
 mod shares;
@@ -66,6 +67,8 @@
     pub ownership: Ownership,
     /// Duration of the leases granted to workers.
     pub lease: Duration,
+    /// Longest lease that a worker takes.
+    pub max_lease: Duration,
     /// Terms of the workspaces in force.
     pub workspaces: Arc<WorkspaceTable>,
     /// How many times as long a task takes away from the rack of its data; 1 if the platform names no factor.
@@ -78,11 +81,18 @@
 pub const DEFAULT_MAX_RECORD: Bytes = Bytes(256 << 10);
 
 impl OwnerOptions {
-    /// Returns options with the default lease duration, capped at the platform's maximum `longest`.
+    /// Returns options with the default lease duration, capped at the platform's maximum `max_lease`.
     #[must_use]
     pub fn new(ownership: Ownership, max_lease: Duration) -> Self {
         let lease = super::lease::DEFAULT_LEASE.min(max_lease);
-        Self { ownership, lease, workspaces: Arc::default(), far_factor: 1.0, max_record: DEFAULT_MAX_RECORD }
+        Self {
+            ownership,
+            lease,
+            max_lease,
+            workspaces: Arc::default(),
+            far_factor: 1.0,
+            max_record: DEFAULT_MAX_RECORD,
+        }
     }
 
     /// Sets the largest record that the store takes, bytes.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -21,8 +21,9 @@
 /// Time that a worker may delay its answer to a lease extension until a run ends; leases are extended four times before
 /// they expire.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(1_000);
-/// The same while a run is on probation, whose worker takes no other runs until reports show that it survives.
-const PROBATION_REPORT_WAIT: Duration = Duration::from_millis(100);
+/// The same while a run is on probation, whose worker takes no other runs until reports show that it survives, and while it is
+/// unknown whether a run exists.
+const SHORT_REPORT_WAIT: Duration = Duration::from_millis(100);
 /// The same for a draining worker, whose lease is short.
 const DRAINING_REPORT_WAIT: Duration = Duration::from_millis(500);
 /// Minimum time without progress after which a task counts as stalled: a task of 12 s on a worker that is 6 times as slow
@@ -76,8 +77,8 @@
             };
             let wait = match deadline {
                 Some(_) if !worker.is_responsive || !worker.has_reported => Duration::ZERO,
+                Some(_) if worker.has_probation() || worker.awaits_report => SHORT_REPORT_WAIT,
                 Some(_) if worker.entry.draining => DRAINING_REPORT_WAIT,
-                Some(_) if worker.has_probation() => PROBATION_REPORT_WAIT,
                 Some(_) => MAX_REPORT_WAIT,
                 None => Duration::ZERO,
             };
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Withdraws the loss of a run that is active after all.
+    pub(super) fn withdraw_loss(&mut self, task: TaskKey, run: u32) {
+        if let Some(state) = self.task_mut(task) {
+            state.losses.withdraw(run);
+        }
+    }
+
     /// Drops the losses of jobs that have ended.
     pub(super) fn forget_losses(&mut self) {
         let jobs = &self.jobs;
@@ -154,7 +161,7 @@
     }
 
     /// Fails the job of a task that crashes its workers.
-    fn give_up_if_conclusive(&mut self, now: Timestamp, task: TaskKey) {
+    pub(super) fn give_up_if_conclusive(&mut self, now: Timestamp, task: TaskKey) {
         let Some(state) = self.task_mut(task).filter(|t| t.losses.is_conclusive() && !t.done) else { return };
         let losses: Vec<_> = state.losses.iter().collect();
         let crashes = losses.iter().filter(|(_, loss)| loss.is_crash).count();
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -34,7 +34,7 @@
         }
         if error == OrderError::OtherIncarnation {
             if self.workers.get(incarnation).is_none_or(Worker::is_ended_by_other) {
-                return self.replace_incarnation(now, incarnation, "another incarnation answered");
+                return self.replace_incarnation(now, incarnation, None, "another incarnation answered");
             }
             log::warn!(target: "decision", "worker worker={incarnation} outcome=misdirected reason=\"the entry has another address\"");
         }
@@ -54,9 +54,10 @@
     }
 
     /// Handles a report that names another incarnation than the one that was called.
-    fn on_report_of_other(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
+    fn on_report_of_other(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, started_at: u64) {
         if self.workers.get(incarnation).is_none_or(Worker::is_ended_by_other) {
-            self.replace_incarnation(now, incarnation, "report names another incarnation");
+            let other = WorkerIncarnation::new(&incarnation.id, started_at);
+            self.replace_incarnation(now, incarnation, Some(&other), "report names another incarnation");
         } else {
             self.on_lease_error(now, incarnation, OrderError::OtherIncarnation);
         }
@@ -65,7 +66,7 @@
     /// Ends the earlier incarnations of a worker that has reported.
     fn replace_earlier(&mut self, now: Timestamp, incarnation: &WorkerIncarnation) {
         for previous in self.incarnations_of(incarnation, |other| other < incarnation.started_at) {
-            self.replace_incarnation(now, &previous, "a later incarnation reported");
+            self.replace_incarnation(now, &previous, Some(incarnation), "a later incarnation reported");
         }
     }
 
@@ -115,8 +116,8 @@
     }
 
     pub(super) fn on_report(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, report: &Report) {
-        if report.started_at.is_some_and(|started_at| started_at != incarnation.started_at) {
-            return self.on_report_of_other(now, incarnation);
+        if let Some(started_at) = report.started_at.filter(|at| *at != incarnation.started_at) {
+            return self.on_report_of_other(now, incarnation, started_at);
         }
         if self.workers.get(incarnation).is_some_and(|w| !w.has_reported) {
             self.replace_earlier(now, incarnation);
@@ -190,6 +191,7 @@
             placement.phase = Phase::Running(now);
             placement.last_progress = now;
             self.mark_running(task.step.job);
+            self.withdraw_loss(task, run);
         }
         if inherited {
             self.forget_pace(task, run, incarnation);
@@ -258,6 +260,7 @@
     ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
         let unlisted: Vec<_> = worker.runs.keys().filter(|key| !listed.contains(key)).copied().collect();
+        let mut awaits_report = false;
         for (task, run) in unlisted {
             let Some(placement) = self.placement(task, run, incarnation) else {
                 self.note_end(now, task, run, incarnation, EndProof::Unlisted);
@@ -275,6 +278,7 @@
                 .is_none_or(|r| r.is_started);
             // The worker may not list a run that it is stopping.
             let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
+            awaits_report |= matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
             match phase {
                 Phase::Storing | Phase::Starting | Phase::Stopping(None) => {}
                 // Once stopped, the run can't begin any more.
@@ -286,5 +290,8 @@
                 Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
             }
         }
+        if let Some(worker) = self.workers.get_mut(incarnation) {
+            worker.awaits_report = awaits_report;
+        }
     }
 }
--- /dev/null
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -0,0 +1,89 @@
+//! Workers that have started again under their id.
+//!
+//! An order names a worker by its id only, so the next incarnation executes an order that was sent to the earlier one. It
+//! knows no epoch yet, and the deadline of the order is far ahead on its clock, which has started anew. A run that the
+//! earlier incarnation never listed may therefore be active on the next one.
+
+use super::Owner;
+use crate::shard::id::{TaskKey, WorkerIncarnation};
+use crate::shard::job::Phase;
+use crate::shard::loss::WorkerFate;
+use crate::shard::message::WorkerEntry;
+use crate::shard::run_end::EndProof;
+use crate::shard::worker::Worker;
+use crate::unit::Timestamp;
+
+impl Owner {
+    /// Removes a worker incarnation in place of which another one answered, `next` if that has the same id; unless it was
+    /// draining, it has crashed.
+    pub(super) fn replace_incarnation(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        next: Option<&WorkerIncarnation>,
+        reason: &str,
+    ) {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Crashed };
+        if let Some(next) = next.filter(|next| next.started_at > incarnation.started_at) {
+            let unseen: Vec<_> = worker.unseen_runs().collect();
+            self.prepare_next(now, incarnation, next);
+            for (task, run) in unseen {
+                self.move_run(now, task, run, incarnation, next, fate);
+            }
+        }
+        self.end_incarnation(now, incarnation, fate, EndProof::Replaced, reason);
+    }
+
+    /// Prepares the state of the next incarnation of a worker, which orders to the earlier one may still reach.
+    fn prepare_next(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, next: &WorkerIncarnation) {
+        let Some(earlier) = self.workers.get(incarnation) else { return };
+        let is_called = !earlier.called_address.is_empty();
+        let inherited = self.inherited_expiry(now);
+        let entry = WorkerEntry {
+            incarnation: next.clone(),
+            draining: false,
+            remaining: None,
+            ..earlier.entry.clone()
+        };
+        let worker = self
+            .workers
+            .entry(next.clone())
+            .or_insert_with(|| Worker { unlisted_since: Some(now), ..Worker::new(entry, now, inherited) });
+        if is_called {
+            worker.lease.include_misdirected(now, self.options.max_lease);
+        }
+    }
+
+    /// Moves a placed run to the next incarnation of its worker, whose reports tell whether it exists.
+    fn move_run(
+        &mut self,
+        now: Timestamp,
+        task: TaskKey,
+        run: u32,
+        incarnation: &WorkerIncarnation,
+        next: &WorkerIncarnation,
+        fate: WorkerFate,
+    ) {
+        let Some(placement) = self.placement(task, run, incarnation) else { return };
+        placement.incarnation = next.clone();
+        placement.phase = match placement.phase {
+            Phase::Inherited => Phase::Inherited,
+            Phase::Stopping(_) => Phase::Stopping(None),
+            _ => Phase::Unconfirmed(now),
+        };
+        placement.measured_from = None;
+        let is_stopping = placement.phase == Phase::Stopping(None);
+        log::info!(target: "decision", "move task={task} run={run} worker={incarnation} next={next}");
+        self.record_loss(now, task, run, incarnation, fate);
+        let reserved = self.workers.get_mut(incarnation).and_then(|worker| worker.release(task, run));
+        if let Some((reserved, worker)) = reserved.zip(self.workers.get_mut(next)) {
+            worker.take_over(task, run, reserved);
+        }
+        self.batch.progress.insert(task.step.job);
+        if is_stopping {
+            self.send_stop(task, run, next);
+        }
+        self.give_up_if_conclusive(now, task);
+    }
+}
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -67,7 +67,12 @@
                 }
                 match error {
                     OrderError::OtherIncarnation => {
-                        return self.replace_incarnation(now, incarnation, "another incarnation answered");
+                        return self.replace_incarnation(
+                            now,
+                            incarnation,
+                            None,
+                            "another incarnation answered",
+                        );
                     }
                     OrderError::Ticket => self.expire_ticket(task.step, incarnation),
                     _ => {
@@ -369,18 +374,6 @@
         }
     }
 
-    /// Removes a worker incarnation that was replaced by another; unless it was draining, it has crashed.
-    pub(super) fn replace_incarnation(
-        &mut self,
-        now: Timestamp,
-        incarnation: &WorkerIncarnation,
-        reason: &str,
-    ) {
-        let draining = self.workers.get(incarnation).is_some_and(|w| w.entry.draining);
-        let fate = if draining { WorkerFate::Left } else { WorkerFate::Crashed };
-        self.end_incarnation(now, incarnation, fate, EndProof::Replaced, reason);
-    }
-
     /// Removes a worker incarnation that has ended; its runs are lost.
     pub(super) fn end_incarnation(
         &mut self,
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -110,6 +110,8 @@
     pub last_end: u64,
     /// State of the call that extends the lease.
     pub lease_extension: LeaseExtension,
+    /// Whether a report is awaited to tell whether a run exists.
+    pub awaits_report: bool,
     /// Runs that may be active on the worker, by task and run number.
     pub runs: BTreeMap<(TaskKey, u32), ReservedRun>,
     /// Number of `runs` that were put on probation.
@@ -149,6 +151,7 @@
             acked_end: 0,
             last_end: 0,
             lease_extension: LeaseExtension::Due(now),
+            awaits_report: false,
             runs: BTreeMap::new(),
             probations: 0,
             used: Resources::ZERO,
@@ -223,6 +226,13 @@
         }
     }
 
+    /// Returns the runs whose start orders may have reached the next incarnation under the worker's id: those that were sent
+    /// and that this incarnation has never listed.
+    pub fn unseen_runs(&self) -> impl Iterator<Item = (TaskKey, u32)> {
+        let unseen = self.runs.iter().filter(|(_, run)| run.ordered_at.is_some() && run.listed_at.is_none());
+        unseen.map(|(key, _)| *key)
+    }
+
     /// Records that the worker answered the start order of a run.
     pub fn confirm_start(&mut self, task: TaskKey, run: u32) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
@@ -237,14 +247,23 @@
         }
     }
 
-    /// Releases the resources of a run.
-    pub fn release(&mut self, task: TaskKey, run: u32) {
+    /// Releases the resources of a run, and returns what was reserved.
+    pub fn release(&mut self, task: TaskKey, run: u32) -> Option<ReservedRun> {
         self.ordered_paces.remove(&(task, run));
-        if let Some(released) = self.runs.remove(&(task, run)) {
-            self.probations -= usize::from(released.probation.is_some());
-            // Summed anew: subtraction saturates, so `used` could end up too high.
-            self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum + run.resources);
-        }
+        let released = self.runs.remove(&(task, run))?;
+        self.probations -= usize::from(released.probation.is_some());
+        // Summed anew: subtraction saturates, so `used` could end up too high.
+        self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum + run.resources);
+        Some(released)
+    }
+
+    /// Reserves a run that may have been started here in place of on an earlier incarnation.
+    pub fn take_over(&mut self, task: TaskKey, run: u32, reserved: ReservedRun) {
+        let reserved = ReservedRun { is_started: false, ..reserved };
+        self.used += reserved.resources;
+        self.probations += usize::from(reserved.probation.is_some());
+        self.runs.insert((task, run), reserved);
+        self.awaits_report = true;
     }
 
     /// Returns the number of runs of a step that may be active on the worker.
