Stop the runs that outlast a worker that leaves

Cause: what runs on a worker when it leaves is lost, and the last ends may not be reported. That the answer with the end was lost is inferred from the times of that play, not traced. A run that won't end in time by its progress is stopped just before, its worker reports the end and saves a checkpoint, and the task starts elsewhere on the worker's own word. Result: runs_that_outlast_their_worker_are_moved_before_it_leaves fails without the change.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -46,6 +46,19 @@
     pub measured_from: Option<Timestamp>,
 }
 
+impl Placement {
+    /// Returns when the run ends if it advances as before; `None` before its first progress.
+    #[must_use]
+    pub fn expected_end(&self) -> Option<Timestamp> {
+        let Phase::Running(started) = self.phase else { return None };
+        if self.percent == 0 {
+            return None;
+        }
+        let part = f64::from(self.percent) / 100.0;
+        Some(started + self.last_progress.since(started).div_f64(part))
+    }
+}
+
 /// State of a task over all its runs.
 #[derive(Debug, Clone, Default)]
 pub struct Task {
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -7,6 +7,7 @@
 mod caps;
 mod checks;
 mod effects;
+mod evacuation;
 mod filler_pace;
 mod isolation;
 mod losses;
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -44,6 +44,7 @@
             != now.as_micros() / PROGRESS_CHECK_INTERVAL.as_micros() as u64;
         self.last_check = now;
         self.end_lost_workers(now);
+        self.evacuate(now);
         self.extend_leases(now);
         self.retry_stops(now);
         if progress_due {
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -18,7 +18,7 @@
 /// answer.
 const UNSTORED_ENDS_DELAY: Duration = Duration::from_millis(250);
 /// Longest time from a stop order to the end of the run; defined by the platform.
-const MAX_STOP_TIME: Duration = Duration::from_millis(1_000);
+pub(super) const MAX_STOP_TIME: Duration = Duration::from_millis(1_000);
 /// Delay after a call that was not answered; short, because the call has already taken its timeout.
 const UNANSWERED_CALL_DELAY: Duration = Duration::from_millis(100);
 
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -186,3 +186,37 @@
     cluster.advance(200);
     assert_eq!(cluster.starts[&JobKey(1)], 12);
 }
+
+/// Runs that did not end before their worker left waited for its lease, and one that ended just then started again.
+#[test]
+fn runs_that_outlast_their_worker_are_moved_before_it_leaves() {
+    struct Case {
+        name: &'static str,
+        /// Duration of the tasks, milliseconds.
+        task: u64,
+        /// Whether the runs on the worker are stopped.
+        is_moved: bool,
+    }
+    let cases = [
+        Case { name: "ends long after", task: TASK_MS, is_moved: true },
+        Case { name: "would end as the worker leaves", task: 5_950, is_moved: true },
+        Case { name: "ends before", task: 5_000, is_moved: false },
+    ];
+    for case in cases {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(100);
+        cluster.submit(1, spec(2, case.task));
+        cluster.advance(1_000);
+        let worker = cluster.workers_of(1)[0];
+        let runs = cluster.running_on(worker);
+        cluster.drain_for(worker, Some(5_000));
+        cluster.advance(5_000);
+        assert_eq!(cluster.running_on(worker), 0, "{}: runs are left", case.name);
+        cluster.crash_worker(worker, 60_000);
+        cluster.advance(100);
+        let moved = if case.is_moved { runs } else { 0 };
+        assert_eq!(cluster.starts[&JobKey(1)], 2 + moved, "{}", case.name);
+        cluster.advance(TASK_MS);
+        assert_eq!(cluster.query_state(1), Some(JobState::Completed), "{}", case.name);
+    }
+}
