Remember calls to incarnations that were removed

What callers would see: a second run of a task beside the first, after a worker was lost, restarted under its id and fell silent again. Cause: late orders counted in the lease of the next incarnation only if the earlier one was still known. Change: the time of the removal of a called incarnation is kept by id for 12 s.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -14,7 +14,7 @@
 /// Age of the last confirmed write after which an owner stops extending leases; a full outage of the store lasts
 /// about 5 s. A new owner waits this long before it counts the lease of an unreachable worker as expired.
 pub const MAX_UNCONFIRMED_AGE: Duration = Duration::from_secs(6);
-/// Time after which an order that was not answered is no longer executed; defined by the platform.
+/// Time after which an order that was not answered is no longer executed.
 pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
 /// Default duration of a lease. Covers a takeover and a simultaneous power cut of all hosts of 1.5 s. Shorter than the
 /// platform allows, because the tasks of a dead worker start elsewhere only after its lease.
@@ -40,14 +40,14 @@
     /// Until when runs may be active by extensions of previous owners.
     inherited_until: Timestamp,
     /// Until when runs may be active by orders of this owner to an earlier incarnation of the worker.
-    misdirected_until: Timestamp,
+    late_until: Timestamp,
 }
 
 impl Lease {
     /// Returns the lease of a worker that a previous owner may have extended until `inherited_until`.
     #[must_use]
     pub const fn new(inherited_until: Timestamp) -> Self {
-        Self { clock_sample: None, deadline: None, inherited_until, misdirected_until: Timestamp::ZERO }
+        Self { clock_sample: None, deadline: None, inherited_until, late_until: Timestamp::ZERO }
     }
 
     /// Records the worker's `clock`, milliseconds, from an answer received at `now`.
@@ -84,7 +84,7 @@
     #[must_use]
     pub fn expiry(&self) -> Timestamp {
         let granted = self.granted_until().unwrap_or(Timestamp::ZERO);
-        granted.max(self.inherited_until).max(self.misdirected_until) + MAX_TIMER_DELAY
+        granted.max(self.inherited_until).max(self.late_until) + MAX_TIMER_DELAY
     }
 
     /// Limits the inherited lease to an extension by `duration` at `now`: the worker reported under this owner's epoch, which
@@ -95,8 +95,8 @@
 
     /// Includes extensions by orders to an earlier incarnation, which this owner called until `now`. Such an order can be
     /// executed late, and its deadline is beyond `longest`, the longest lease that the worker takes.
-    pub fn include_misdirected(&mut self, now: Timestamp, longest: Duration) {
+    pub fn include_late_orders(&mut self, now: Timestamp, longest: Duration) {
         let until = now + MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
-        self.misdirected_until = self.misdirected_until.max(until);
+        self.late_until = self.late_until.max(until);
     }
 }
--- a/yuccahoist/src/shard/loss.rs
+++ b/yuccahoist/src/shard/loss.rs
@@ -92,9 +92,9 @@
         }
     }
 
-    /// Removes the loss of a worker that answers again.
-    pub fn withdraw(&mut self, run: u32) {
-        self.0.remove(&run);
+    /// Removes the loss of a worker that answers again; returns whether there was one.
+    pub fn withdraw(&mut self, run: u32) -> bool {
+        self.0.remove(&run).is_some()
     }
 
     /// Returns the losses by run number.
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -205,6 +205,8 @@
     options: OwnerOptions,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<WorkerIncarnation, Worker>,
+    /// When the last incarnation under an id was removed that this owner had called; orders to it may still be executed.
+    removed: BTreeMap<Arc<str>, Timestamp>,
     /// Steps with a pending task that may start, in the order of their rank.
     ready: ReadySteps,
     /// Number of jobs by queue that have not begun.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -5,7 +5,7 @@
 use super::Owner;
 use crate::shard::id::{JobKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::Phase;
-use crate::shard::lease::MAX_UNCONFIRMED_AGE;
+use crate::shard::lease::{MAX_ORDER_DELAY, MAX_UNCONFIRMED_AGE};
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{Action, Unlisting, WorkerEntry};
 use crate::shard::pacing::FULL_SPEED_PERCENT;
@@ -55,6 +55,7 @@
             self.entitlements.expire(now);
             self.update_workspace_status();
             self.forget_losses();
+            self.removed.retain(|_, at| now < *at + MAX_ORDER_DELAY);
             self.expire_capped(now);
             self.refresh_speeds(now);
             self.refresh_neighbours(now);
@@ -133,7 +134,11 @@
         let inherited = self.inherited_expiry(now);
         let worker = self.workers.entry(incarnation.clone()).or_insert_with(|| {
             log::info!(target: "decision", "worker worker={incarnation} outcome=registered capacity={}", entry.capacity);
-            Worker::new(entry.clone(), now, inherited)
+            let mut worker = Worker::new(entry.clone(), now, inherited);
+            if let Some(at) = self.removed.get(&incarnation.id) {
+                worker.lease.include_late_orders(*at, self.options.max_lease);
+            }
+            worker
         });
         if entry.draining && !worker.entry.draining {
             log::info!(target: "decision", "worker worker={incarnation} outcome=draining remaining={:?}", entry.remaining);
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -145,8 +145,8 @@
 
     /// Withdraws the loss of a run that is active after all.
     pub(super) fn withdraw_loss(&mut self, task: TaskKey, run: u32) {
-        if let Some(state) = self.task_mut(task) {
-            state.losses.withdraw(run);
+        if self.task_mut(task).is_some_and(|state| state.losses.withdraw(run)) {
+            self.batch.progress.insert(task.step.job);
         }
     }
 
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -66,6 +66,7 @@
             options,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            removed: BTreeMap::new(),
             ready: ReadySteps::default(),
             queued_jobs: BTreeMap::new(),
             batch: Batch::default(),
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -27,7 +27,7 @@
         let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Crashed };
         if let Some(next) = next.filter(|next| next.started_at > incarnation.started_at) {
             let unseen: Vec<_> = worker.unseen_runs().collect();
-            self.prepare_next(now, incarnation, next);
+            self.prepare_next_incarnation(now, incarnation, next);
             for (task, run) in unseen {
                 self.move_run(now, task, run, incarnation, next, fate);
             }
@@ -36,7 +36,12 @@
     }
 
     /// Prepares the state of the next incarnation of a worker, which orders to the earlier one may still reach.
-    fn prepare_next(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, next: &WorkerIncarnation) {
+    fn prepare_next_incarnation(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        next: &WorkerIncarnation,
+    ) {
         let Some(earlier) = self.workers.get(incarnation) else { return };
         let is_called = !earlier.called_address.is_empty();
         let inherited = self.inherited_expiry(now);
@@ -51,7 +56,7 @@
             .entry(next.clone())
             .or_insert_with(|| Worker { unlisted_since: Some(now), ..Worker::new(entry, now, inherited) });
         if is_called {
-            worker.lease.include_misdirected(now, self.options.max_lease);
+            worker.lease.include_late_orders(now, self.options.max_lease);
         }
     }
 
@@ -78,7 +83,7 @@
         self.record_loss(now, task, run, incarnation, fate);
         let reserved = self.workers.get_mut(incarnation).and_then(|worker| worker.release(task, run));
         if let Some((reserved, worker)) = reserved.zip(self.workers.get_mut(next)) {
-            worker.take_over(task, run, reserved);
+            worker.reserve_moved(task, run, reserved);
         }
         self.batch.progress.insert(task.step.job);
         if is_stopping {
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -389,6 +389,8 @@
             self.counters.crashed_workers += 1;
         }
         self.lose_runs(now, incarnation, fate, proof);
-        self.workers.remove(incarnation);
+        if self.workers.remove(incarnation).is_some_and(|w| !w.called_address.is_empty()) {
+            self.removed.insert(incarnation.id.clone(), now);
+        }
     }
 }
--- a/yuccahoist/src/shard/run_end.rs
+++ b/yuccahoist/src/shard/run_end.rs
@@ -2,6 +2,9 @@
 //!
 //! Two runs of a task must not be active at once, so its owner starts a task again only on one of these proofs. Each is in
 //! a line of the log and in a metric.
+//!
+//! A proof holds for one incarnation of a worker. A start order that was never answered can still be executed by the next
+//! incarnation under the same id.
 
 use std::fmt;
 
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -258,7 +258,7 @@
     }
 
     /// Reserves a run that may have been started here in place of on an earlier incarnation.
-    pub fn take_over(&mut self, task: TaskKey, run: u32, reserved: ReservedRun) {
+    pub fn reserve_moved(&mut self, task: TaskKey, run: u32, reserved: ReservedRun) {
         let reserved = ReservedRun { is_started: false, ..reserved };
         self.used += reserved.resources;
         self.probations += usize::from(reserved.probation.is_some());
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -7,7 +7,7 @@
 use yuccahoist::shard::health::Health;
 use yuccahoist::shard::host::host_directory::HostDirectory;
 use yuccahoist::shard::host::write_timeouts::WriteTimeouts;
-use yuccahoist::shard::lease::{Lease, MAX_TIMER_DELAY};
+use yuccahoist::shard::lease::Lease;
 use yuccahoist::shard::message::OrderError;
 use yuccahoist::shard::order::{Timeliness, Urgency};
 use yuccahoist::shard::pacing::Pace;
@@ -210,10 +210,10 @@
 fn lease_expiry_covers_slow_clock() {
     let mut lease = Lease::new(at(9_000));
     assert_eq!(lease.extend(at(0), ms(4_000)), None, "deadline before the worker's clock is known");
-    let inherited = lease.expiry();
-    assert!(
-        inherited >= at(9_000) + MAX_TIMER_DELAY,
-        "{inherited:?}: a previous owner's lease does not count until the worker has reported"
+    assert_eq!(
+        lease.expiry(),
+        at(9_250),
+        "a previous owner's lease, with a late timer, does not count until the worker has reported"
     );
     lease.observe(at(100), 50_000);
     lease.fence_inherited(at(100), ms(4_000));
