Add failing tests of orders that outlive the proof of a run's end

Cause: a review of the fixes asked where the same cause still acts: every proof holds for one incarnation of a worker, while an order that was never answered can be executed by the next one under the same id.

--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -6,8 +6,9 @@
 use yuccahoist::shard::message::{OrderError, Report, Request};
 use yuccahoist::shard::record::JobState;
 use yuccahoist::shard::{Event, JobKey, StepKey, TaskKey, WorkerIncarnation};
+use yuccahoist::unit::Resources;
 
-use super::cluster::{CallFault, CallKind, Departure, SimulatedCluster, spec};
+use super::cluster::{CallFault, CallKind, Departure, SimulatedCluster, WORKER_CAPACITY, spec};
 
 /// Duration of the tasks, milliseconds; longer than a lease.
 const TASK_MS: u64 = 20_000;
@@ -238,3 +239,150 @@
         (case.name.to_owned(), Box::new(play) as Box<dyn FnOnce()>)
     }));
 }
+
+/// A run counted as over because one incarnation confirmed its stop; the next one executed its start order late.
+#[test]
+fn order_that_outlives_a_confirmed_stop_is_not_doubled() {
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(100);
+    cluster.resize_worker(1, Resources::new(1_000, 1_000, 0));
+    cluster.advance(200);
+    cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(5_000));
+    cluster.submit(1, spec(1, TASK_MS));
+    let worker = cluster.advance_until_ordered(1);
+    assert_eq!(worker, 0);
+    cluster.advance(20);
+    cluster.resize_worker(1, WORKER_CAPACITY);
+    cluster.resize_worker(0, Resources::new(1_000, 1_000, 0));
+    cluster.advance(2_500);
+    assert_eq!(cluster.workers_of(1), [1], "the task has started elsewhere");
+    cluster.restart_worker(0);
+    cluster.resize_worker(0, WORKER_CAPACITY);
+    cluster.advance(SETTLE_MS);
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+}
+
+/// A run counted as over because the lease of one incarnation expired; the next one executed its start order late.
+#[test]
+fn order_that_outlives_a_lease_is_not_doubled() {
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(100);
+    (0..2).for_each(|worker| {
+        cluster.fault_next_call(worker, CallKind::Start, CallFault::ExecutedAfter(7_000));
+    });
+    cluster.submit(1, spec(1, TASK_MS));
+    let worker = cluster.advance_until_ordered(1);
+    cluster.crash_worker(worker, 6_000);
+    cluster.advance(SETTLE_MS);
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+}
+
+/// A lease extension for an incarnation that the owner had removed extended the lease of the next one.
+#[test]
+fn extension_for_a_removed_incarnation_counts_in_the_lease_of_the_next() {
+    let (mut cluster, worker) = busy_cluster();
+    cluster.advance(5_000);
+    cluster.fault_next_call(worker, CallKind::ExtendLease, CallFault::ExecutedAfter(7_000));
+    cluster.advance_until_called(worker);
+    cluster.crash_worker(worker, 5_500);
+    cluster.advance(3_000);
+    cluster.unlist(worker);
+    cluster.advance(2_800);
+    cluster.submit(2, spec(8, TASK_MS));
+    cluster.advance(1_600);
+    cluster.disconnect(worker, 60_000, false);
+    cluster.advance(SETTLE_MS);
+}
+
+/// A lease extension of the previous owner for an earlier incarnation extended the lease of the next one.
+#[test]
+fn extension_of_a_previous_owner_for_an_earlier_incarnation_counts() {
+    let mut cluster = SimulatedCluster::new(1, 3);
+    cluster.advance(5_000);
+    cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(500));
+    cluster.advance_until_called(0);
+    cluster.restart_worker(0);
+    cluster.advance(600);
+    cluster.take_over(true);
+    cluster.advance(300);
+    cluster.submit(2, spec(8, TASK_MS));
+    cluster.advance(1_000);
+    cluster.disconnect(0, 60_000, false);
+    cluster.advance(SETTLE_MS);
+}
+
+/// Several restarts in a row, with orders executed late in each.
+#[test]
+fn order_is_followed_through_several_restarts() {
+    play_all(
+        [1_500, 3_000, 6_000].into_iter().flat_map(|late| [200, 700, 1_400].map(|gap| (late, gap))).map(
+            |(late, gap)| {
+                let play = move || {
+                    let mut cluster = SimulatedCluster::new(1, 2);
+                    cluster.advance(100);
+                    cluster.max_registry_delay = 1_000;
+                    (0..2).for_each(|worker| {
+                        cluster.fault_next_call(worker, CallKind::Start, CallFault::ExecutedAfter(late));
+                    });
+                    cluster.submit(1, spec(1, TASK_MS));
+                    let worker = cluster.advance_until_ordered(1);
+                    (0..3).for_each(|_| {
+                        cluster.advance(gap);
+                        cluster.restart_worker(worker);
+                    });
+                    cluster.advance(SETTLE_MS);
+                    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+                };
+                (format!("late {late}, gap {gap}"), Box::new(play) as Box<dyn FnOnce()>)
+            },
+        ),
+    );
+}
+
+/// A run counted as over because a new owner's first report did not list it; the next incarnation executed its start order
+/// before it knew the new epoch.
+#[test]
+fn order_of_a_previous_owner_that_outlives_a_first_report_is_not_doubled() {
+    let small = Resources::new(1_000, 1_000, 0);
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(100);
+    cluster.resize_worker(1, small);
+    cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(3_000));
+    cluster.submit(1, spec(1, TASK_MS));
+    assert_eq!(cluster.advance_until_ordered(1), 0);
+    cluster.advance(300);
+    cluster.resize_worker(0, small);
+    cluster.resize_worker(1, WORKER_CAPACITY);
+    cluster.take_over(true);
+    cluster.advance(2_000);
+    assert_eq!(cluster.workers_of(1), [1], "the task has not started elsewhere");
+    cluster.resize_worker(0, WORKER_CAPACITY);
+    cluster.max_registry_delay = 1_000;
+    // No call of the new owner reaches the next incarnation before the late order.
+    cluster.disconnect(0, 690, false);
+    cluster.advance(650);
+    cluster.restart_worker(0);
+    cluster.disconnect(0, 45, false);
+    cluster.advance(SETTLE_MS);
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+}
+
+/// A task was started while a report listed an earlier run of it that was still being stopped.
+#[test]
+fn task_is_not_started_while_a_report_lists_an_unplaced_run_of_it() {
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(100);
+    cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(2_000));
+    cluster.submit(1, spec(1, TASK_MS));
+    let worker = cluster.advance_until_ordered(1);
+    assert_eq!(worker, 0);
+    cluster.advance(300);
+    cluster.take_over(true);
+    cluster.advance(1_000);
+    cluster.disconnect(worker, 690, false);
+    cluster.advance(650);
+    cluster.restart_worker(worker);
+    cluster.disconnect(worker, 45, false);
+    cluster.advance(SETTLE_MS);
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+}
