Reproduce two runs at once after a restart, found by the search

- A start order that is not answered is stopped, and its run counts as never begun (Stopped).
The proof holds for that incarnation only: the next one under the same id knows nothing of the stop, and executes the order up to 12 s after it was sent.
- An order in flight at a restart is executed by the next incarnation, whose answers are lost.
The run is not moved, since no report names the next incarnation; the lease of the earlier one frees the task, and the run is still active.

--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -116,6 +116,44 @@
     }));
 }
 
+/// A stopped start order counted as never executed, but the next incarnation knows nothing of the stop and executed it.
+#[test]
+fn stopped_order_executed_by_a_restarted_worker_is_not_doubled() {
+    struct Case {
+        name: &'static str,
+        /// Duration of the task, milliseconds.
+        task: u64,
+    }
+    let cases =
+        [Case { name: "the task runs again", task: TASK_MS }, Case { name: "the task is done", task: 500 }];
+    play_all(cases.map(|case| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 1);
+            cluster.advance(100);
+            cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(6_000));
+            cluster.submit(1, spec(1, case.task));
+            cluster.advance(4_000);
+            cluster.restart_worker(0);
+            cluster.advance(SETTLE_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (case.name.to_owned(), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
+/// The lease of the earlier incarnation freed a task whose order the next one, out of contact, had executed.
+#[test]
+fn order_executed_by_a_restarted_worker_out_of_contact_is_not_doubled() {
+    let mut cluster = SimulatedCluster::new(1, 2);
+    cluster.advance(100);
+    cluster.submit(1, spec(1, TASK_MS));
+    let worker = cluster.advance_until_ordered(1);
+    cluster.restart_worker(worker);
+    cluster.disconnect(worker, 60_000, true);
+    cluster.advance(SETTLE_MS);
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+}
+
 /// The lease was counted to the millisecond, so that the runs of a worker that kills them late overlapped with the next ones.
 #[test]
 fn late_lease_timer_does_not_double_a_run() {
