Restart the soak's workers under their ids, and delay their lease timers

What callers would see: two runs of a task at once (TWICE) after a worker has restarted under its id. Cause: in the stand-in a delayed order was dropped with the incarnation that it was sent to, and lease timers fired on time, so that two hypotheses of the incident had no test on real processes. Change: a delayed order can be late on its way, so that the next incarnation of the worker executes it.

--- a/yuccahoist_standins/src/platform/fleet.rs
+++ b/yuccahoist_standins/src/platform/fleet.rs
@@ -25,6 +25,8 @@
 const STOP_DURATION_MS: u64 = 300;
 /// Longest lease that an order can grant.
 const MAX_LEASE_MS: u64 = 10_000;
+/// Speed of the slowest worker clock, percent of real time.
+const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// Share of workers that a step with recommendations may run on, percent.
 const RECOMMENDED_PERCENT: u64 = 75;
 
@@ -48,6 +50,8 @@
 pub struct FleetFaults {
     /// Probability that an order is executed seconds later and never answered.
     pub delayed_orders: f64,
+    /// Whether a delayed order is late on its way, so that a later incarnation of the worker may execute it.
+    pub is_delayed_on_way: bool,
     /// Probability that a run fails.
     pub failed_runs: f64,
 }
@@ -100,8 +104,8 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut workers = BTreeMap::new();
         for spec in specs {
-            // Worker clocks run up to 2 % slow.
-            let worker = Worker::new(spec.clone(), wall, 0, rng.random_range(98..=100));
+            let clock_percent = rng.random_range(SLOWEST_CLOCK_PERCENT..=100);
+            let worker = Worker::new(spec.clone(), wall, 0, clock_percent);
             workers.insert(spec.id, worker);
         }
         Self {
@@ -217,7 +221,20 @@
     pub fn restart(&mut self, id: &str) {
         let (now, wall) = (self.now, self.wall);
         if let Some(worker) = self.workers.get_mut(id) {
+            let timer_delay = worker.timer_delay;
             *worker = Worker::new(worker.spec.clone(), wall + now, now, worker.clock_percent);
+            worker.timer_delay = timer_delay;
+        }
+    }
+
+    /// Restarts all workers with the slowest clocks, and with lease timers that fire up to `max_delay` milliseconds late.
+    pub fn slow_clocks(&mut self, max_delay: u64) {
+        for id in self.workers.keys().cloned().collect::<Vec<_>>() {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.clock_percent = SLOWEST_CLOCK_PERCENT;
+                worker.timer_delay = self.rng.random_range(0..=max_delay);
+            }
+            self.restart(&id);
         }
     }
 
@@ -236,6 +253,12 @@
         }
     }
 
+    /// Whether a later incarnation of a worker executes the delayed orders of an earlier one.
+    #[must_use]
+    pub const fn is_delayed_on_way(&self) -> bool {
+        self.faults.is_delayed_on_way
+    }
+
     /// Decides at random whether the next order is delayed, and returns its delay in milliseconds.
     pub fn sample_delay(&mut self) -> Option<u64> {
         let is_delayed = self.faults.delayed_orders > 0.0 && self.rng.random_bool(self.faults.delayed_orders);
@@ -250,7 +273,7 @@
         self.now = self.now.max(now);
         let now = self.now;
         for worker in self.workers.values_mut().filter(|w| w.is_up) {
-            if worker.lease_expiry <= worker.clock(now) {
+            if worker.lease_expiry <= worker.clock(now.saturating_sub(worker.timer_delay)) {
                 worker.last_voided = worker.last_end;
                 for key in worker.runs.keys().cloned().collect::<Vec<_>>() {
                     worker.end_run(now, key, "lapsed");
--- a/yuccahoist_standins/src/platform/fleet/worker.rs
+++ b/yuccahoist_standins/src/platform/fleet/worker.rs
@@ -47,6 +47,8 @@
     pub(super) clock_start: u64,
     /// Speed of the worker's clock, percent of real time.
     pub(super) clock_percent: u64,
+    /// Time from the end of the lease until its timer fires, milliseconds.
+    pub(super) timer_delay: u64,
     pub(super) is_up: bool,
     /// Whether the registry still shows the worker; a worker that leaves removes its entry before or after its runs end.
     pub(super) is_registered: bool,
@@ -72,6 +74,7 @@
             started_at,
             clock_start,
             clock_percent,
+            timer_delay: 0,
             is_up: true,
             is_registered: true,
             drain_end: None,
--- a/yuccahoist_standins/src/platform/serve.rs
+++ b/yuccahoist_standins/src/platform/serve.rs
@@ -150,7 +150,7 @@
 }
 
 /// Executes an order at once, or after a random delay and without an answer. A delayed order is dropped when the
-/// incarnation of the worker that received it has ended.
+/// incarnation of the worker that received it has ended; one that is late on its way reaches a later incarnation.
 async fn execute_order<T: Send + 'static>(
     fleet: &SharedFleet,
     id: &str,
@@ -159,11 +159,14 @@
     let Some(delay) = with_fleet(fleet, Fleet::sample_delay) else { return with_fleet(fleet, order) };
     let (fleet, id) = (fleet.clone(), id.to_owned());
     tokio::spawn(async move {
-        let started_at = with_fleet(&fleet, |f| f.started_at(&id));
+        let (started_at, is_on_way) = with_fleet(&fleet, |f| (f.started_at(&id), f.is_delayed_on_way()));
         sleep(Duration::from_millis(delay)).await;
-        if with_fleet(&fleet, |f| f.started_at(&id)) == started_at {
-            with_fleet(&fleet, order);
-        }
+        with_fleet(&fleet, |f| {
+            let now = f.started_at(&id);
+            if now == started_at || is_on_way && now.is_some() {
+                order(f);
+            }
+        });
     });
     std::future::pending().await
 }
--- a/yuccahoist_standins/tests/platform.rs
+++ b/yuccahoist_standins/tests/platform.rs
@@ -276,7 +276,7 @@
             name: "start after the last attempt",
             step: step(),
             actions: |f| {
-                f.set_faults(FleetFaults { delayed_orders: 0.0, failed_runs: 1.0 });
+                f.set_faults(FleetFaults { failed_runs: 1.0, ..FleetFaults::default() });
                 complete_first_step(f);
                 f.hold("w-0", &hold(2)).expect("ends acknowledged");
                 send(f, "w-1", &start(0, 0, 2));
