Follow orders when the lease of the earlier incarnation ends first

What callers would see: a second run of a task beside the first (TWICE), when a worker restarts under its id and its answers are lost from then on. Cause: the lease of the earlier incarnation ended the runs that it had never listed, which the next one may have started. Change: such runs are moved to the next incarnation, whose registry entry is known. Its lease includes late orders from the time at which the earlier one fell silent, since nothing that extends a lease is sent after that.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -93,10 +93,10 @@
         self.inherited_until = self.inherited_until.min(now + max_grant(duration));
     }
 
-    /// Includes extensions by orders to an earlier incarnation, which this owner called until `now`. Such an order can be
+    /// Includes extensions by orders to an earlier incarnation, the last of which was sent at `last`. Such an order can be
     /// executed late, and its deadline is beyond `longest`, the longest lease that the worker takes.
-    pub fn include_late_orders(&mut self, now: Timestamp, longest: Duration) {
-        let until = now + MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
+    pub fn include_late_orders(&mut self, last: Timestamp, longest: Duration) {
+        let until = last + MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
         self.late_until = self.late_until.max(until);
     }
 }
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -26,15 +26,27 @@
         let Some(worker) = self.workers.get(incarnation) else { return };
         let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Crashed };
         if let Some(next) = next.filter(|next| next.started_at > incarnation.started_at) {
-            let unseen: Vec<_> = worker.unseen_runs().collect();
-            self.prepare_next_incarnation(now, incarnation, next);
-            for (task, run) in unseen {
-                self.move_run(now, task, run, incarnation, next, fate);
-            }
+            self.move_unseen_runs(now, incarnation, next, fate);
         }
         self.end_incarnation(now, incarnation, fate, EndProof::Replaced, reason);
     }
 
+    /// Moves the runs that a worker incarnation never listed to the next one.
+    pub(super) fn move_unseen_runs(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        next: &WorkerIncarnation,
+        fate: WorkerFate,
+    ) {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        let unseen: Vec<_> = worker.unseen_runs().collect();
+        self.prepare_next_incarnation(now, incarnation, next);
+        for (task, run) in unseen {
+            self.move_run(now, task, run, incarnation, next, fate);
+        }
+    }
+
     /// Prepares the state of the next incarnation of a worker, which orders to the earlier one may still reach.
     fn prepare_next_incarnation(
         &mut self,
@@ -44,6 +56,8 @@
     ) {
         let Some(earlier) = self.workers.get(incarnation) else { return };
         let is_called = !earlier.called_address.is_empty();
+        // Nothing that extends a lease is sent to a silent worker.
+        let last_extension = earlier.silent_since.unwrap_or(now);
         let inherited = self.inherited_expiry(now);
         let entry = WorkerEntry {
             incarnation: next.clone(),
@@ -56,7 +70,7 @@
             .entry(next.clone())
             .or_insert_with(|| Worker { unlisted_since: Some(now), ..Worker::new(entry, now, inherited) });
         if is_called {
-            worker.lease.include_late_orders(now, self.options.max_lease);
+            worker.lease.include_late_orders(last_extension, self.options.max_lease);
         }
     }
 
