Look for the next incarnation of unlisted workers only

Cause: each check looked through all workers for the next incarnation of each worker whose lease had expired, also of those that had no runs left: quadratic in the workers twenty times a second while all of them are out of reach. Found by reading. Change: it is looked for once, when an unlisted incarnation is removed; a next one that is listed unlists the earlier one. The cost was not measured.

--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -104,18 +104,16 @@
             let Some(worker) = self.workers.get(&incarnation) else { continue };
             let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
             let is_unlisted = worker.unlisted_since.is_some();
-            // The lease proves nothing for runs that the next incarnation may have started.
-            if let Some(next) =
-                self.incarnations_of(&incarnation, |other| other > incarnation.started_at).pop()
-            {
-                self.move_unseen_runs(now, &incarnation, &next, fate);
-            }
             if is_unlisted {
+                // The lease proves nothing for runs that the next incarnation, once listed, may have started.
+                let next = self.incarnations_of(&incarnation, |other| other > incarnation.started_at).pop();
+                if let Some(next) = next {
+                    self.move_unseen_runs(now, &incarnation, &next, fate);
+                }
                 let reason = "missing from the registry, lease expired";
                 self.end_incarnation(now, &incarnation, fate, EndProof::Lapsed, reason);
                 continue;
             }
-            let Some(worker) = self.workers.get(&incarnation) else { continue };
             if !worker.runs.is_empty() {
                 log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", worker.runs.len());
             }
