Say for which incarnation a stop holds

Cause: a comment promised more than a confirmed stop proves: the next incarnation under the same id knows nothing of it. Change: one comment. Result: no code is changed; the formatter passes.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -281,7 +281,7 @@
             awaits_report |= matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
             match phase {
                 Phase::Storing | Phase::Starting | Phase::Stopping(None) => {}
-                // Once stopped, the run can't begin any more.
+                // Once stopped, the run can't begin on this incarnation any more.
                 Phase::Unconfirmed(at) | Phase::Running(at) if at <= sent => self.stop_task(now, task),
                 Phase::Stopping(Some(at)) if at + stop_time < sent => {
                     self.drop_placement(now, task, run, EndProof::Stopped);
