Keep case 6 within the limits of the site file

Cause: its worker was down for 5 s and one order in 18 was late; the site file allows 4.5 s and a share of .055.

--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -290,13 +290,13 @@
     doubled
 }
 
-/// One start order in 18 is left unanswered and carried out 6 s late; its worker crashes meanwhile, is down for 5 s, and starts
-/// again under its id.
+/// One start order in 19 is left unanswered and carried out 6 s late; its worker crashes meanwhile, is down for 4.5 s, and
+/// starts again under its id.
 fn late_order(record: &Arc<Record>, trouble: bool) -> Option<bool> {
     const WORKERS: usize = 12;
     const JOBS: usize = 24;
-    /// One order in so many is late: the share .055 of the sheet.
-    const LATE_SHARE: usize = 18;
+    /// One order in so many is late: a share of .053, and .055 at most by the site file.
+    const LATE_SHARE: usize = 19;
     let world = World::start(plan(racks(WORKERS)), record)?;
     if trouble {
         world.fleet.set_late(millis(4_500), LATE_SHARE, 6 * SECOND);
@@ -309,7 +309,7 @@
     }
     if let Some(worker) = world.fleet.late_workers().first().copied() {
         world.fleet.crash(worker);
-        thread::sleep(5 * SECOND);
+        thread::sleep(millis(4_500));
         world.fleet.restart(worker, None);
     }
     until(start + 30 * SECOND);
