Log what decides when a worker's lease ends, and count expired leases by it

Cause: the logs could not tell whether a lease counted as expired on the owner's own extensions, on those of a previous owner or on orders to an earlier incarnation, nor how old a worker was at its first report to a new owner. Change: worker lines for the first report and for a succeeding incarnation, the bound in both and in lapsed lines, which now also come for workers missing from the registry; metric leases_expired by bound. No decision is changed.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -3,6 +3,7 @@
 //! A worker measures its lease on its own monotonic clock, which may run slow. The owner knows that clock only from the
 //! worker's reports, each with the time at which it was received.
 
+use std::fmt;
 use std::time::Duration;
 
 use crate::unit::Timestamp;
@@ -30,6 +31,55 @@
     (lease + drift).div_f64(MIN_CLOCK_RATE)
 }
 
+/// Orders that decide when the lease of a worker ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LeaseBound {
+    /// Extensions by this owner.
+    Granted,
+    /// Orders of previous owners.
+    Inherited,
+    /// Orders of this owner to an earlier incarnation.
+    Late,
+}
+
+impl LeaseBound {
+    /// All bounds, in the order of their declaration.
+    pub const ALL: [Self; 3] = [Self::Granted, Self::Inherited, Self::Late];
+
+    /// Returns the name of the bound in log lines and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Inherited => "inherited",
+            Self::Late => "late",
+        }
+    }
+}
+
+impl fmt::Display for LeaseBound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Number of leases that expired with runs, by bound.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct ExpiryCounts([u64; LeaseBound::ALL.len()]);
+
+impl ExpiryCounts {
+    /// Counts a lease.
+    pub const fn add(&mut self, bound: LeaseBound) {
+        self.0[bound as usize] += 1;
+    }
+
+    /// Returns the number of leases that expired on `bound`.
+    #[must_use]
+    pub const fn get(&self, bound: LeaseBound) -> u64 {
+        self.0[bound as usize]
+    }
+}
+
 /// Clock and lease of a worker as the owner knows them.
 #[derive(Debug, Clone, Copy)]
 pub struct Lease {
@@ -83,8 +133,20 @@
     /// Returns the time after which no run that the owner knows of can still be active on the worker.
     #[must_use]
     pub fn expiry(&self) -> Timestamp {
-        let granted = self.granted_until().unwrap_or(Timestamp::ZERO);
-        granted.max(self.inherited_until).max(self.late_until) + MAX_TIMER_DELAY
+        self.last_end().0 + MAX_TIMER_DELAY
+    }
+
+    /// Returns the orders that decide when the lease ends.
+    #[must_use]
+    pub fn bound(&self) -> LeaseBound {
+        self.last_end().1
+    }
+
+    /// Returns the latest end by any order, with the kind of that order.
+    fn last_end(&self) -> (Timestamp, LeaseBound) {
+        let granted = (self.granted_until().unwrap_or(Timestamp::ZERO), LeaseBound::Granted);
+        let inherited = (self.inherited_until, LeaseBound::Inherited);
+        granted.max(inherited).max((self.late_until, LeaseBound::Late))
     }
 
     /// Limits the inherited lease to an extension by `duration` at `now`: the worker reported under this owner's epoch, which
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -31,6 +31,7 @@
 use super::interference::InterferenceBook;
 use super::job::Job;
 use super::learning::Learning;
+use super::lease::ExpiryCounts;
 use super::message::{Action, Event, OrderError};
 use super::order::Urgency;
 use super::ready::ReadySteps;
@@ -173,6 +174,8 @@
     pub lost: u64,
     /// Runs that ended, by the proof of their end.
     pub ended_runs: EndCounts,
+    /// Leases that expired with runs on their workers, by the orders that decided their end.
+    pub expired_leases: ExpiryCounts,
     /// Workers of which a later incarnation showed that they had crashed.
     pub crashed_workers: u64,
     /// Tasks given up because they crash their workers.
@@ -299,7 +302,9 @@
             Event::Worker(entry) => self.on_worker(now, entry),
             Event::WorkerUnlisted(id, reason) => self.on_worker_unlisted(now, &id, reason),
             Event::Stored => self.on_stored(now),
-            Event::LeaseAnswered(incarnation, Ok(report)) => self.on_report(now, &incarnation, &report),
+            Event::LeaseAnswered(incarnation, Ok(report)) => {
+                self.on_report(now, wall, &incarnation, &report);
+            }
             Event::LeaseAnswered(incarnation, Err(error)) => self.on_lease_error(now, &incarnation, error),
             Event::Started(task, run, incarnation, result) => {
                 self.on_started(now, task, run, &incarnation, result);
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -103,6 +103,15 @@
         for incarnation in incarnations {
             let Some(worker) = self.workers.get(&incarnation) else { continue };
             let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
+            let bound = worker.lease.bound();
+            if !worker.runs.is_empty() {
+                self.counters.expired_leases.add(bound);
+                log::warn!(
+                    target: "decision",
+                    "worker worker={incarnation} outcome=lapsed runs={} bound={bound}",
+                    worker.runs.len()
+                );
+            }
             let is_unlisted = worker.unlisted_since.is_some();
             if is_unlisted {
                 // The lease proves nothing for runs that the next incarnation, once listed, may have started.
@@ -114,9 +123,6 @@
                 self.end_incarnation(now, &incarnation, fate, EndProof::Lapsed, reason);
                 continue;
             }
-            if !worker.runs.is_empty() {
-                log::warn!(target: "decision", "worker worker={incarnation} outcome=lapsed runs={}", worker.runs.len());
-            }
             self.lose_runs(now, &incarnation, fate, EndProof::Lapsed);
         }
     }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -115,7 +115,14 @@
         }
     }
 
-    pub(super) fn on_report(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, report: &Report) {
+    /// Handles a report of a worker; `wall` is in milliseconds since the Unix epoch.
+    pub(super) fn on_report(
+        &mut self,
+        now: Timestamp,
+        wall: u64,
+        incarnation: &WorkerIncarnation,
+        report: &Report,
+    ) {
         if let Some(started_at) = report.started_at.filter(|at| *at != incarnation.started_at) {
             return self.on_report_of_other(now, incarnation, started_at);
         }
@@ -134,6 +141,15 @@
             worker.has_reported = true;
             worker.lease.fence_inherited(now, self.options.lease);
             self.pass_due = true;
+            log::info!(
+                target: "decision",
+                "worker worker={incarnation} outcome=reported age_ms={} active={} ended={} lease_ms={} bound={}",
+                wall.saturating_sub(incarnation.started_at),
+                report.active.len(),
+                report.ended.len(),
+                worker.lease.expiry().since(now).as_millis(),
+                worker.lease.bound(),
+            );
         }
         if !worker.is_responsive {
             worker.is_responsive = true;
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -71,6 +71,12 @@
             .or_insert_with(|| Worker { unlisted_since: Some(now), ..Worker::new(entry, now, inherited) });
         if is_called {
             worker.lease.include_late_orders(last_extension, self.options.max_lease);
+            let lease = worker.lease.expiry().since(now).as_millis();
+            log::info!(
+                target: "decision",
+                "worker worker={next} outcome=succeeds earlier={incarnation} lease_ms={lease} bound={}",
+                worker.lease.bound()
+            );
         }
     }
 
