Show a lease that outlasts a takeover after a restart

A start or an extension for the earlier incarnation of a worker extends the lease of the later one to the longest that it takes. Its next owner counts only what its predecessor would have granted.

The longest lease becomes a setting of the simulated cluster; the schedules vary it, the order, the change of owner and the times. A second test plays them without a change of owner.

--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -31,7 +31,7 @@
 const STOP_DURATION_MS: u64 = 300;
 /// Largest record that the store takes, bytes; it refuses a larger one for ever.
 const MAX_RECORD_BYTES: usize = 262_144;
-/// Longest lease that a worker takes; defined by the platform.
+/// Longest lease that a worker takes unless a test sets another one; defined by the platform.
 const MAX_LEASE_MS: u64 = 10_000;
 /// Starts of a task after its third crash that break its budget.
 const MAX_STARTS_AFTER_CRASHES: u32 = 3;
@@ -275,9 +275,9 @@
         self.runs.values().fold(Resources::ZERO, |sum, r| sum + r.resources)
     }
 
-    /// Extends the lease, at most to the longest one that the platform allows.
-    fn extend_lease(&mut self, now: Timestamp, deadline: u64) {
-        self.deadline = self.deadline.max(deadline.min(self.clock(now) + MAX_LEASE_MS));
+    /// Extends the lease, at most to `max_lease` milliseconds from now.
+    fn extend_lease(&mut self, now: Timestamp, deadline: u64, max_lease: u64) {
+        self.deadline = self.deadline.max(deadline.min(self.clock(now) + max_lease));
     }
 
     fn end_run(&mut self, task: TaskKey, run: u32, kind: EndKind) {
@@ -322,6 +322,8 @@
 
 /// Simulated cluster of an owner, a store and workers.
 pub struct SimulatedCluster {
+    /// Longest lease that a worker takes, milliseconds.
+    max_lease: u64,
     pub now: Timestamp,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
@@ -385,7 +387,13 @@
 
 impl SimulatedCluster {
     pub fn new(seed: u64, workers: u32) -> Self {
+        Self::with_max_lease(seed, workers, MAX_LEASE_MS)
+    }
+
+    /// Returns a cluster whose workers take leases of up to `max_lease` milliseconds.
+    pub fn with_max_lease(seed: u64, workers: u32, max_lease: u64) -> Self {
         let mut cluster = Self {
+            max_lease,
             now: Timestamp::from_millis(100_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
@@ -454,7 +462,7 @@
             records.add(Record::try_from(&entry).expect("decodes its own encoding"));
         }
         let table = self.tables.last().map(|(_, table)| table.clone()).unwrap_or_default();
-        let options = OwnerOptions::new(ownership, Duration::from_secs(10)).workspaces(table);
+        let options = OwnerOptions::new(ownership, Duration::from_millis(self.max_lease)).workspaces(table);
         self.owner = Some(Owner::restore(options, records, self.now, self.wall()));
         (0..self.workers.len()).for_each(|number| self.register(number));
     }
@@ -561,6 +569,12 @@
     /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs and of earlier
     /// epochs, and whose clock starts anew.
     pub fn restart_worker(&mut self, number: usize) {
+        self.restart_unregistered(number);
+        self.register(number);
+    }
+
+    /// Restarts a worker whose later incarnation has not written its registry entry yet.
+    pub fn restart_unregistered(&mut self, number: usize) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
@@ -575,7 +589,6 @@
             }
         }
         self.workers.insert(worker.entry.incarnation.clone(), worker);
-        self.register(number);
     }
 
     /// Replaces a worker by one with another id at the same address.
@@ -1129,7 +1142,7 @@
         action: Action,
         reply: Reply,
     ) -> Option<Event> {
-        let now = self.now;
+        let (now, max_lease) = (self.now, self.max_lease);
         let incarnation = target_worker(&action);
         let worker = self.workers.get_mut(executing)?;
         let fenced = epoch < worker.fence;
@@ -1154,7 +1167,7 @@
                     );
                 }
                 worker.ended.retain(|e| e.number > acked_end);
-                worker.extend_lease(now, deadline.unwrap_or_default());
+                worker.extend_lease(now, deadline.unwrap_or_default(), max_lease);
                 let until = now + wait;
                 worker.pending_reports.push(PendingReport {
                     epoch,
@@ -1196,7 +1209,7 @@
                 } else if worker.runs.contains_key(&(task, run)) {
                     return Some(Event::Started(task, run, incarnation, Ok(())));
                 } else if worker.highest_runs.get(&task).is_some_and(|highest| run <= *highest) {
-                    worker.extend_lease(now, deadline);
+                    worker.extend_lease(now, deadline, max_lease);
                     Some(OrderError::Old)
                 } else if deadline <= worker.clock(now) {
                     Some(OrderError::Late)
@@ -1204,7 +1217,7 @@
                     && !(worker.used() + spec.steps[task.step.step as usize].reserved())
                         .fits(worker.entry.capacity)
                 {
-                    worker.extend_lease(now, deadline);
+                    worker.extend_lease(now, deadline, max_lease);
                     Some(OrderError::Room)
                 } else {
                     None
@@ -1212,7 +1225,7 @@
                 if let Some(error) = error {
                     return Some(Event::Started(task, run, incarnation, Err(error)));
                 }
-                worker.extend_lease(now, deadline);
+                worker.extend_lease(now, deadline, max_lease);
                 self.start_run(executing, task, run, &spec);
                 Some(Event::Started(task, run, incarnation, Ok(())))
             }
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -17,6 +17,9 @@
 /// Time by which an order can be executed late, milliseconds.
 const MAX_ORDER_DELAY_MS: u64 = 12_000;
 
+/// Tasks that keep three workers busy and leave room for the runs of one of them.
+const TASKS: u32 = 8;
+
 /// Returns a cluster of three workers with a job of two tasks, and the first worker that runs one.
 fn busy_cluster() -> (SimulatedCluster, usize) {
     let mut cluster = SimulatedCluster::new(1, 3);
@@ -32,7 +35,8 @@
     let mut broken = Vec::new();
     for (description, play) in schedules {
         if let Err(cause) = catch_unwind(AssertUnwindSafe(play)) {
-            let cause = cause.downcast_ref::<String>().cloned().unwrap_or_default();
+            let text = cause.downcast_ref::<&str>().map(|text| (*text).to_owned());
+            let cause = text.or_else(|| cause.downcast_ref::<String>().cloned()).unwrap_or_default();
             broken.push(format!("{description}: {cause}"));
         }
     }
@@ -351,6 +355,161 @@
     cluster.advance(SETTLE_MS);
 }
 
+/// Call for the earlier incarnation of a worker that the later one executes; times are in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum EarlierOrder {
+    /// Start orders that are on their way at the restart.
+    Start,
+    /// Start order that comes this late; after the timeout of 600 ms it is refused, as its run was stopped by then.
+    LateStart(u64),
+    /// Lease extension that is on its way at the restart and executed this late.
+    Extension(u64),
+}
+
+/// How the owner changes.
+#[derive(Debug, Clone, Copy)]
+enum OwnerChange {
+    Unchanged,
+    /// The owner is killed, and its write in flight is lost.
+    Killed,
+    /// The owner writes what it has to before the next one takes over.
+    Stopped,
+    /// The owner computes nothing for this time, milliseconds, before the next one takes over.
+    Frozen(u64),
+}
+
+/// Settings of a schedule; times are in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct Takeover {
+    order: EarlierOrder,
+    /// Longest lease.
+    max_lease: u64,
+    /// Time from the execution of the order to the change of owner.
+    gap: u64,
+    change: OwnerChange,
+    /// Time from the change of owner to the cut; the first report takes 10 ms.
+    cut_after: u64,
+}
+
+/// Starts long tasks on a worker whose lease an order to its earlier incarnation has extended, replaces the owner, and cuts
+/// the worker off.
+fn play_takeover(Takeover { order, max_lease, gap, change, cut_after }: Takeover) {
+    let mut cluster = SimulatedCluster::with_max_lease(1, 3, max_lease);
+    cluster.advance(5_000);
+    let worker = match order {
+        EarlierOrder::Start => {
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            let worker = cluster.advance_until_ordered(1);
+            cluster.restart_worker(worker);
+            worker
+        }
+        EarlierOrder::LateStart(late) => {
+            cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(late));
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            cluster.advance_until_called(0);
+            cluster.advance(100);
+            cluster.restart_worker(0);
+            cluster.advance(late - 100);
+            0
+        }
+        EarlierOrder::Extension(late) => {
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+            cluster.advance_until_called(0);
+            cluster.restart_worker(0);
+            cluster.advance(100);
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            cluster.advance(late.saturating_sub(100));
+            0
+        }
+    };
+    cluster.advance(gap);
+    match change {
+        OwnerChange::Unchanged => {}
+        OwnerChange::Killed => cluster.take_over(false),
+        OwnerChange::Stopped => cluster.take_over(true),
+        OwnerChange::Frozen(millis) => {
+            cluster.freeze_owner(millis);
+            cluster.advance(millis);
+            cluster.take_over(false);
+        }
+    }
+    cluster.advance(cut_after);
+    assert!(cluster.running_on(worker) > 0, "no task runs on the worker");
+    cluster.disconnect(worker, 60_000, false);
+    cluster.advance(SETTLE_MS + MAX_ORDER_DELAY_MS);
+    assert!(cluster.starts[&JobKey(1)] > TASKS, "the runs of the worker did not start elsewhere");
+    assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+}
+
+/// The lease that a previous owner would have granted was counted for a worker whose lease an order to its earlier
+/// incarnation had extended to the longest one.
+#[test]
+fn lease_extended_by_an_order_to_an_earlier_incarnation_outlasts_a_takeover() {
+    struct Case {
+        order: EarlierOrder,
+        /// Longest lease, milliseconds.
+        max_lease: u64,
+        /// Times from the execution of the order to the change of owner, milliseconds.
+        gaps: &'static [u64],
+    }
+    use EarlierOrder::{Extension, LateStart, Start};
+    let cases = [
+        Case { order: Start, max_lease: 6_000, gaps: &[100, 1_000] },
+        Case { order: Start, max_lease: 10_000, gaps: &[100, 1_000, 3_000, 5_000] },
+        Case { order: LateStart(550), max_lease: 6_000, gaps: &[100, 1_000] },
+        Case { order: LateStart(550), max_lease: 10_000, gaps: &[100, 3_000] },
+        Case { order: LateStart(2_000), max_lease: 6_000, gaps: &[100, 1_000] },
+        Case { order: LateStart(2_000), max_lease: 10_000, gaps: &[100, 3_000] },
+        Case { order: LateStart(11_000), max_lease: 10_000, gaps: &[100, 3_000] },
+        Case { order: Extension(200), max_lease: 6_000, gaps: &[100, 1_000] },
+        Case { order: Extension(200), max_lease: 10_000, gaps: &[100, 3_000, 5_000] },
+        Case { order: Extension(3_000), max_lease: 6_000, gaps: &[100, 1_000] },
+        Case { order: Extension(3_000), max_lease: 10_000, gaps: &[100, 3_000] },
+        Case { order: Extension(11_000), max_lease: 6_000, gaps: &[100, 1_000] },
+        Case { order: Extension(11_000), max_lease: 10_000, gaps: &[100, 3_000] },
+    ];
+    let changes = [OwnerChange::Killed, OwnerChange::Stopped, OwnerChange::Frozen(500)];
+    let mut schedules = Vec::new();
+    for Case { order, max_lease, gaps } in cases {
+        for (gap, change, cut_after) in gaps
+            .iter()
+            .flat_map(|gap| changes.map(|change| (*gap, change)))
+            .flat_map(|(gap, change)| [0, 50].map(|cut_after| (gap, change, cut_after)))
+        {
+            let takeover = Takeover { order, max_lease, gap, change, cut_after };
+            let play = move || play_takeover(takeover);
+            schedules.push((format!("{takeover:?}"), Box::new(play) as Box<dyn FnOnce()>));
+        }
+    }
+    play_all(schedules);
+}
+
+/// An owner that saw the restart of a worker itself has to count the orders to the earlier incarnation in its lease.
+#[test]
+fn lease_extended_by_an_order_to_an_earlier_incarnation_is_counted_by_its_sender() {
+    use EarlierOrder::{Extension, LateStart, Start};
+    let orders = [
+        Start,
+        LateStart(200),
+        LateStart(550),
+        LateStart(2_000),
+        LateStart(11_000),
+        Extension(200),
+        Extension(3_000),
+        Extension(11_000),
+    ];
+    let settings = [(6_000, 10), (6_000, 1_000), (10_000, 10), (10_000, 1_000), (10_000, 5_000)];
+    play_all(orders.into_iter().flat_map(|order| settings.map(|s| (order, s))).flat_map(
+        |(order, (max_lease, gap))| {
+            [0, 50].map(|cut_after| {
+                let takeover = Takeover { order, max_lease, gap, change: OwnerChange::Unchanged, cut_after };
+                let play = move || play_takeover(takeover);
+                (format!("{takeover:?}"), Box::new(play) as Box<dyn FnOnce()>)
+            })
+        },
+    ));
+}
+
 /// Several restarts in a row, with orders executed late in each.
 #[test]
 fn order_is_followed_through_several_restarts() {
