Check tickets in the simulated cluster

A worker took each start of a queue with recommendations, whichever ticket it carried, and a copy of a start that it had executed did not extend its lease.

A ticket is now for a step and the incarnation that is up at the answer, and expires after the validity of the queue; other starts are refused. A start of a run that is there extends the lease.

--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -316,6 +316,8 @@
     Unlisting(Epoch, Arc<str>),
     /// Registry entry of the worker of this number, as it is on arrival.
     Registration(Epoch, usize),
+    /// Answer to a recommendation request that waits for no host.
+    QuickRecommendation(Epoch, RecommendationRequest),
     /// Answer to a recommendation request, by the host that made it and its number there.
     Recommendation(Epoch, RequestHost, u64),
 }
@@ -358,6 +360,8 @@
     pub open_requests: BTreeMap<StepKey, Duration>,
     /// Queue of recommendation requests; without it each is answered after 20 ms.
     pub request_queue: Option<RequestQueue>,
+    /// Step, worker and expiry of each ticket.
+    tickets: BTreeMap<String, (StepKey, WorkerIncarnation, Timestamp)>,
     /// Versions of the table of workspaces, each with the time from which it was in force.
     tables: Vec<(Timestamp, Arc<WorkspaceTable>)>,
     /// When the start order of a run was sent.
@@ -414,6 +418,7 @@
             first_requests: BTreeMap::new(),
             open_requests: BTreeMap::new(),
             request_queue: None,
+            tickets: BTreeMap::new(),
             tables: Vec::new(),
             ordered: BTreeMap::new(),
             owner: None,
@@ -819,9 +824,7 @@
             }
             Action::RequestRecommendation(request) => {
                 self.requests += 1;
-                let recommended = tickets(&request);
-                let event = Event::Recommended(request.step, request.workers, Some(recommended));
-                self.deliver_after(20, Delivery::Event(epoch, event));
+                self.deliver_after(20, Delivery::QuickRecommendation(epoch, request));
             }
             Action::StepDown(epoch) => assert!(epoch < self.epoch, "the current owner was fenced"),
         }
@@ -1090,16 +1093,37 @@
                     return;
                 };
                 self.open_requests.remove(&request.step);
-                let recommended = tickets(&request);
-                if epoch == self.epoch {
-                    self.handle_event(Event::Recommended(request.step, request.workers, Some(recommended)));
-                }
+                self.recommend(epoch, request);
                 self.start_requests();
             }
+            Delivery::QuickRecommendation(epoch, request) => self.recommend(epoch, request),
             Delivery::Order(epoch, action, reply) => self.deliver_order(epoch, action, reply),
         }
     }
 
+    /// Answers a recommendation request with tickets for the present incarnations of its workers.
+    fn recommend(&mut self, epoch: Epoch, request: RecommendationRequest) {
+        let expiry = self.now + request.cost.validity;
+        let mut recommended = Vec::new();
+        for WorkerIncarnation { id, .. } in &request.workers {
+            let Some(incarnation) = self.workers.keys().find(|i| i.id == *id) else { continue };
+            let ticket = format!("ticket-{}", self.tickets.len());
+            self.tickets.insert(ticket.clone(), (request.step, incarnation.clone(), expiry));
+            recommended.push((id.clone(), ticket));
+        }
+        if epoch == self.epoch {
+            self.handle_event(Event::Recommended(request.step, request.workers, Some(recommended)));
+        }
+    }
+
+    /// Whether a ticket lets a task of a step start on an incarnation of a worker now.
+    fn is_valid(&self, ticket: Option<&String>, step: StepKey, worker: &WorkerIncarnation) -> bool {
+        let issued = ticket.and_then(|ticket| self.tickets.get(ticket));
+        issued.is_some_and(|(of, incarnation, expiry)| {
+            *of == step && incarnation == worker && self.now < *expiry
+        })
+    }
+
     /// Delivers a call to the worker at its address. It names only the id, so that a later incarnation executes it.
     fn deliver_order(&mut self, epoch: Epoch, action: Action, reply: Reply) {
         let named = target_worker(&action);
@@ -1144,6 +1168,12 @@
     ) -> Option<Event> {
         let (now, max_lease) = (self.now, self.max_lease);
         let incarnation = target_worker(&action);
+        let has_ticket = match &action {
+            Action::Start { task, spec, ticket, .. } if spec.queue.recommendation.is_some() => {
+                self.is_valid(ticket.as_ref(), task.step, executing)
+            }
+            _ => true,
+        };
         let worker = self.workers.get_mut(executing)?;
         let fenced = epoch < worker.fence;
         worker.fence = worker.fence.max(epoch);
@@ -1207,12 +1237,15 @@
                 let error = if fenced {
                     Some(OrderError::Fenced)
                 } else if worker.runs.contains_key(&(task, run)) {
+                    worker.extend_lease(now, deadline, max_lease);
                     return Some(Event::Started(task, run, incarnation, Ok(())));
                 } else if worker.highest_runs.get(&task).is_some_and(|highest| run <= *highest) {
                     worker.extend_lease(now, deadline, max_lease);
                     Some(OrderError::Old)
                 } else if deadline <= worker.clock(now) {
                     Some(OrderError::Late)
+                } else if !has_ticket {
+                    Some(OrderError::Ticket)
                 } else if self.ordered.get(&(task, run)).is_some_and(|at| *at <= worker.capacity_seen)
                     && !(worker.used() + spec.steps[task.step.step as usize].reserved())
                         .fits(worker.entry.capacity)
@@ -1439,11 +1472,6 @@
     (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
 }
 
-/// Returns tickets for all workers of a request.
-fn tickets(request: &RecommendationRequest) -> Vec<(Arc<str>, String)> {
-    request.workers.iter().map(|incarnation| (incarnation.id.clone(), "ticket".to_owned())).collect()
-}
-
 fn target_worker(action: &Action) -> WorkerIncarnation {
     match action {
         Action::ExtendLease { incarnation, .. }
