--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -31,7 +31,7 @@
 const STOP_DURATION_MS: u64 = 300;
 /// Largest record that the store takes, bytes; it refuses a larger one for ever.
 const MAX_RECORD_BYTES: usize = 262_144;
-/// Longest lease that a worker takes; defined by the platform.
+/// Longest lease that a worker takes unless a test sets another one; defined by the platform.
 const MAX_LEASE_MS: u64 = 10_000;
 /// Starts of a task after its third crash that break its budget.
 const MAX_STARTS_AFTER_CRASHES: u32 = 3;
@@ -275,9 +275,9 @@
         self.runs.values().fold(Resources::ZERO, |sum, r| sum + r.resources)
     }
 
-    /// Extends the lease, at most to the longest one that the platform allows.
-    fn extend_lease(&mut self, now: Timestamp, deadline: u64) {
-        self.deadline = self.deadline.max(deadline.min(self.clock(now) + MAX_LEASE_MS));
+    /// Extends the lease, at most to `max_lease` milliseconds from now.
+    fn extend_lease(&mut self, now: Timestamp, deadline: u64, max_lease: u64) {
+        self.deadline = self.deadline.max(deadline.min(self.clock(now) + max_lease));
     }
 
     fn end_run(&mut self, task: TaskKey, run: u32, kind: EndKind) {
@@ -316,12 +316,16 @@
     Unlisting(Epoch, Arc<str>),
     /// Registry entry of the worker of this number, as it is on arrival.
     Registration(Epoch, usize),
+    /// Answer to a recommendation request that waits for no host.
+    QuickRecommendation(Epoch, RecommendationRequest),
     /// Answer to a recommendation request, by the host that made it and its number there.
     Recommendation(Epoch, RequestHost, u64),
 }
 
 /// Simulated cluster of an owner, a store and workers.
 pub struct SimulatedCluster {
+    /// Longest lease that a worker takes, milliseconds.
+    max_lease: u64,
     pub now: Timestamp,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
@@ -356,6 +360,8 @@
     pub open_requests: BTreeMap<StepKey, Duration>,
     /// Queue of recommendation requests; without it each is answered after 20 ms.
     pub request_queue: Option<RequestQueue>,
+    /// Step, worker and expiry of each ticket.
+    tickets: BTreeMap<String, (StepKey, WorkerIncarnation, Timestamp)>,
     /// Versions of the table of workspaces, each with the time from which it was in force.
     tables: Vec<(Timestamp, Arc<WorkspaceTable>)>,
     /// When the start order of a run was sent.
@@ -385,7 +391,13 @@
 
 impl SimulatedCluster {
     pub fn new(seed: u64, workers: u32) -> Self {
+        Self::with_max_lease(seed, workers, MAX_LEASE_MS)
+    }
+
+    /// Returns a cluster whose workers take leases of up to `max_lease` milliseconds.
+    pub fn with_max_lease(seed: u64, workers: u32, max_lease: u64) -> Self {
         let mut cluster = Self {
+            max_lease,
             now: Timestamp::from_millis(100_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
@@ -406,6 +418,7 @@
             first_requests: BTreeMap::new(),
             open_requests: BTreeMap::new(),
             request_queue: None,
+            tickets: BTreeMap::new(),
             tables: Vec::new(),
             ordered: BTreeMap::new(),
             owner: None,
@@ -454,7 +467,7 @@
             records.add(Record::try_from(&entry).expect("decodes its own encoding"));
         }
         let table = self.tables.last().map(|(_, table)| table.clone()).unwrap_or_default();
-        let options = OwnerOptions::new(ownership, Duration::from_secs(10)).workspaces(table);
+        let options = OwnerOptions::new(ownership, Duration::from_millis(self.max_lease)).workspaces(table);
         self.owner = Some(Owner::restore(options, records, self.now, self.wall()));
         (0..self.workers.len()).for_each(|number| self.register(number));
     }
@@ -561,6 +574,12 @@
     /// Replaces a worker by a new incarnation with the same id and address, which knows nothing of its runs and of earlier
     /// epochs, and whose clock starts anew.
     pub fn restart_worker(&mut self, number: usize) {
+        self.restart_unregistered(number);
+        self.register(number);
+    }
+
+    /// Restarts a worker whose later incarnation has not written its registry entry yet.
+    pub fn restart_unregistered(&mut self, number: usize) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
@@ -575,7 +594,6 @@
             }
         }
         self.workers.insert(worker.entry.incarnation.clone(), worker);
-        self.register(number);
     }
 
     /// Replaces a worker by one with another id at the same address.
@@ -806,9 +824,7 @@
             }
             Action::RequestRecommendation(request) => {
                 self.requests += 1;
-                let recommended = tickets(&request);
-                let event = Event::Recommended(request.step, request.workers, Some(recommended));
-                self.deliver_after(20, Delivery::Event(epoch, event));
+                self.deliver_after(20, Delivery::QuickRecommendation(epoch, request));
             }
             Action::StepDown(epoch) => assert!(epoch < self.epoch, "the current owner was fenced"),
         }
@@ -1077,16 +1093,37 @@
                     return;
                 };
                 self.open_requests.remove(&request.step);
-                let recommended = tickets(&request);
-                if epoch == self.epoch {
-                    self.handle_event(Event::Recommended(request.step, request.workers, Some(recommended)));
-                }
+                self.recommend(epoch, request);
                 self.start_requests();
             }
+            Delivery::QuickRecommendation(epoch, request) => self.recommend(epoch, request),
             Delivery::Order(epoch, action, reply) => self.deliver_order(epoch, action, reply),
         }
     }
 
+    /// Answers a recommendation request with tickets for the present incarnations of its workers.
+    fn recommend(&mut self, epoch: Epoch, request: RecommendationRequest) {
+        let expiry = self.now + request.cost.validity;
+        let mut recommended = Vec::new();
+        for WorkerIncarnation { id, .. } in &request.workers {
+            let Some(incarnation) = self.workers.keys().find(|i| i.id == *id) else { continue };
+            let ticket = format!("ticket-{}", self.tickets.len());
+            self.tickets.insert(ticket.clone(), (request.step, incarnation.clone(), expiry));
+            recommended.push((id.clone(), ticket));
+        }
+        if epoch == self.epoch {
+            self.handle_event(Event::Recommended(request.step, request.workers, Some(recommended)));
+        }
+    }
+
+    /// Whether a ticket lets a task of a step start on an incarnation of a worker now.
+    fn is_valid(&self, ticket: Option<&String>, step: StepKey, worker: &WorkerIncarnation) -> bool {
+        let issued = ticket.and_then(|ticket| self.tickets.get(ticket));
+        issued.is_some_and(|(of, incarnation, expiry)| {
+            *of == step && incarnation == worker && self.now < *expiry
+        })
+    }
+
     /// Delivers a call to the worker at its address. It names only the id, so that a later incarnation executes it.
     fn deliver_order(&mut self, epoch: Epoch, action: Action, reply: Reply) {
         let named = target_worker(&action);
@@ -1129,8 +1166,14 @@
         action: Action,
         reply: Reply,
     ) -> Option<Event> {
-        let now = self.now;
+        let (now, max_lease) = (self.now, self.max_lease);
         let incarnation = target_worker(&action);
+        let has_ticket = match &action {
+            Action::Start { task, spec, ticket, .. } if spec.queue.recommendation.is_some() => {
+                self.is_valid(ticket.as_ref(), task.step, executing)
+            }
+            _ => true,
+        };
         let worker = self.workers.get_mut(executing)?;
         let fenced = epoch < worker.fence;
         worker.fence = worker.fence.max(epoch);
@@ -1154,7 +1197,7 @@
                     );
                 }
                 worker.ended.retain(|e| e.number > acked_end);
-                worker.extend_lease(now, deadline.unwrap_or_default());
+                worker.extend_lease(now, deadline.unwrap_or_default(), max_lease);
                 let until = now + wait;
                 worker.pending_reports.push(PendingReport {
                     epoch,
@@ -1194,17 +1237,20 @@
                 let error = if fenced {
                     Some(OrderError::Fenced)
                 } else if worker.runs.contains_key(&(task, run)) {
+                    worker.extend_lease(now, deadline, max_lease);
                     return Some(Event::Started(task, run, incarnation, Ok(())));
                 } else if worker.highest_runs.get(&task).is_some_and(|highest| run <= *highest) {
-                    worker.extend_lease(now, deadline);
+                    worker.extend_lease(now, deadline, max_lease);
                     Some(OrderError::Old)
                 } else if deadline <= worker.clock(now) {
                     Some(OrderError::Late)
+                } else if !has_ticket {
+                    Some(OrderError::Ticket)
                 } else if self.ordered.get(&(task, run)).is_some_and(|at| *at <= worker.capacity_seen)
                     && !(worker.used() + spec.steps[task.step.step as usize].reserved())
                         .fits(worker.entry.capacity)
                 {
-                    worker.extend_lease(now, deadline);
+                    worker.extend_lease(now, deadline, max_lease);
                     Some(OrderError::Room)
                 } else {
                     None
@@ -1212,7 +1258,7 @@
                 if let Some(error) = error {
                     return Some(Event::Started(task, run, incarnation, Err(error)));
                 }
-                worker.extend_lease(now, deadline);
+                worker.extend_lease(now, deadline, max_lease);
                 self.start_run(executing, task, run, &spec);
                 Some(Event::Started(task, run, incarnation, Ok(())))
             }
@@ -1426,11 +1472,6 @@
     (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
 }
 
-/// Returns tickets for all workers of a request.
-fn tickets(request: &RecommendationRequest) -> Vec<(Arc<str>, String)> {
-    request.workers.iter().map(|incarnation| (incarnation.id.clone(), "ticket".to_owned())).collect()
-}
-
 fn target_worker(action: &Action) -> WorkerIncarnation {
     match action {
         Action::ExtendLease { incarnation, .. }
