Count orders to an earlier incarnation in the lease that a new owner inherits

Cause: an order names the id of a worker only. The deadline of one that was meant for the earlier incarnation is a time on a clock that had run for long, so the next incarnation takes its longest lease, 6 or 10 s. From its first report on, a new owner counted the 4 s that its predecessor would have granted. Change: at the first report the inherited lease is the longest one that the worker takes, unless its incarnation is too old to have executed an order to an earlier one. Why it works: from its first report on the worker refuses the orders of previous owners, so every order that can have extended its lease was executed by then, and a lease is never longer than the longest. The restarts of the simulated cluster get the time of day as their start, as real ones do.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -17,6 +17,11 @@
 pub const MAX_UNCONFIRMED_AGE: Duration = Duration::from_secs(6);
 /// Time after which an order that was not answered is no longer executed.
 pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+/// Age until which an incarnation of a worker may execute an order that a previous owner sent to an earlier one. An owner
+/// that does not know of the restart sends orders until its last confirmed write is too old.
+pub const MAX_EARLIER_ORDER_AGE: Duration = MAX_UNCONFIRMED_AGE.saturating_add(MAX_ORDER_DELAY);
+/// Difference between the times of day of two hosts; a time of day may jump by seconds.
+pub const MAX_CLOCK_OFFSET: Duration = Duration::from_secs(5);
 /// Default duration of a lease. Covers a takeover and a simultaneous power cut of all hosts of 1.5 s. Shorter than the
 /// platform allows, because the tasks of a dead worker start elsewhere only after its lease.
 pub const DEFAULT_LEASE: Duration = Duration::from_millis(4_000);
@@ -149,10 +154,16 @@
         granted.max(inherited).max((self.late_until, LeaseBound::Late))
     }
 
-    /// Limits the inherited lease to an extension by `duration` at `now`: the worker reported under this owner's epoch, which
-    /// fences previous owners from then on.
-    pub fn fence_inherited(&mut self, now: Timestamp, duration: Duration) {
-        self.inherited_until = self.inherited_until.min(now + max_grant(duration));
+    /// Limits the inherited lease: the worker reported at `now` under this owner's epoch, which fences previous owners from then
+    /// on. `age` is the time since its start by the host's time of day.
+    ///
+    /// A previous owner extended the lease by `duration`. An order to an earlier incarnation has extended it by `longest`, the
+    /// longest lease that the worker takes: the clock of that incarnation had run for longer, so the deadline is far ahead.
+    pub fn fence_inherited(&mut self, now: Timestamp, age: Duration, duration: Duration, longest: Duration) {
+        let granted = self.inherited_until.min(now + max_grant(duration));
+        let since_order = age.saturating_sub(MAX_EARLIER_ORDER_AGE + MAX_CLOCK_OFFSET);
+        let earlier = now + longest.div_f64(MIN_CLOCK_RATE).saturating_sub(since_order);
+        self.inherited_until = granted.max(earlier);
     }
 
     /// Includes extensions by orders to an earlier incarnation, the last of which was sent at `last`. Such an order can be
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -139,12 +139,13 @@
         worker.lease.observe(now, report.clock);
         if !worker.has_reported {
             worker.has_reported = true;
-            worker.lease.fence_inherited(now, self.options.lease);
+            let age = Duration::from_millis(wall.saturating_sub(incarnation.started_at));
+            worker.lease.fence_inherited(now, age, self.options.lease, self.options.max_lease);
             self.pass_due = true;
             log::info!(
                 target: "decision",
                 "worker worker={incarnation} outcome=reported age_ms={} active={} ended={} lease_ms={} bound={}",
-                wall.saturating_sub(incarnation.started_at),
+                age.as_millis(),
                 report.active.len(),
                 report.ended.len(),
                 worker.lease.expiry().since(now).as_millis(),
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -583,7 +583,8 @@
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let mut worker = Worker::new(id, incarnation.started_at + 1, self.now, 0);
+        let started_at = self.wall().max(incarnation.started_at + 1);
+        let mut worker = Worker::new(id, started_at, self.now, 0);
         if let Some(previous) = previous {
             worker.entry.capacity = previous.entry.capacity;
             worker.capacity_seen = previous.capacity_seen;
@@ -603,7 +604,8 @@
         self.workers.remove(&incarnation);
         self.handle_event(Event::WorkerUnlisted(incarnation.id.clone(), Unlisting::Unexplained));
         let id: u32 = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let mut worker = Worker::new(id + 100, incarnation.started_at + 1, self.now, 0);
+        let started_at = self.wall().max(incarnation.started_at + 1);
+        let mut worker = Worker::new(id + 100, started_at, self.now, 0);
         worker.entry.address = address;
         let replacement = worker.entry.incarnation.clone();
         self.workers.insert(replacement.clone(), worker);
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -216,7 +216,7 @@
         "a previous owner's lease, with a late timer, does not count until the worker has reported"
     );
     lease.observe(at(100), 50_000);
-    lease.fence_inherited(at(100), ms(4_000));
+    lease.fence_inherited(at(100), ms(60_000), ms(4_000), ms(10_000));
     assert_eq!(lease.granted_until(), None, "granted before the first extension");
     let inherited = lease.expiry().since(at(100));
     assert!(inherited >= ms(4_081), "{inherited:?} is too short for a predecessor's extension");
