Acknowledge ends only until the worker has answered, and not to a silent worker

Callers saw: a task that was done started again after its worker had restarted under its id. Cause: each call to a worker carried the number of its last stored end, also a call to a worker that had fallen silent. An incarnation that has started again under the id counts its ends from 1 and drops all up to that number, before anyone has read them. The owner then takes the run for one that never ended. Evidence: extension_for_an_earlier_incarnation_acknowledges_no_end_of_the_later. Change: a number is sent until a call that carries it is answered, and only to a worker that answers. Why it works: a worker drops ends once; what it has dropped needs no further number. What remains is a call with a new number that is itself executed by the next incarnation.

--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -86,11 +86,12 @@
             };
             worker.lease_extension = LeaseExtension::InFlight(now);
             worker.called_address.clone_from(&worker.entry.address);
+            worker.pending_ack = worker.next_ack();
             self.actions.push(Action::ExtendLease {
                 incarnation: incarnation.clone(),
                 address: worker.entry.address.clone(),
                 deadline,
-                acked_end: worker.acked_end,
+                acked_end: worker.pending_ack,
                 wait,
             });
         }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -136,6 +136,8 @@
             LeaseExtension::Due(_) => now,
         };
         worker.note_report(now, sent);
+        worker.confirmed_ack = worker.confirmed_ack.max(worker.pending_ack);
+        worker.pending_ack = 0;
         worker.lease.observe(now, report.clock);
         if !worker.has_reported {
             worker.has_reported = true;
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -146,7 +146,7 @@
     pub address: String,
     /// Deadline of the lease on the worker's clock, milliseconds; `None` does not extend it.
     pub deadline: Option<u64>,
-    /// Highest number of an ended run that is stored; the worker may drop the ends up to it.
+    /// Highest number of an ended run that is stored; the worker drops the ends up to it. 0 if the worker has dropped them.
     pub acked_end: u64,
     /// How long the worker may delay its answer until a run ends.
     pub wait: Duration,
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -106,6 +106,10 @@
     pub lease: Lease,
     /// Highest number of an ended run that is stored; the worker may drop those up to it.
     pub acked_end: u64,
+    /// Highest number of an ended run that a call carried as stored which the worker answered.
+    pub confirmed_ack: u64,
+    /// The same number in the call in flight; 0 if it carries none.
+    pub pending_ack: u64,
     /// Highest number of an ended run that was received.
     pub last_end: u64,
     /// State of the call that extends the lease.
@@ -149,6 +153,8 @@
             end_age: Duration::MAX,
             lease: Lease::new(inherited),
             acked_end: 0,
+            confirmed_ack: 0,
+            pending_ack: 0,
             last_end: 0,
             lease_extension: LeaseExtension::Due(now),
             awaits_report: false,
@@ -284,6 +290,15 @@
         self.pace.percent.min(self.pace_limit.percent)
     }
 
+    /// Returns the number of ended runs that the next call acknowledges; 0 for none.
+    ///
+    /// The next incarnation under the worker's id counts its ends from 1 again and would drop those that nobody has read. A
+    /// number is therefore sent until it is answered, and only to a worker that answers.
+    #[must_use]
+    pub const fn next_ack(&self) -> u64 {
+        if self.is_responsive && self.acked_end > self.confirmed_ack { self.acked_end } else { 0 }
+    }
+
     /// Whether the runs need more than the worker's present capacity.
     #[must_use]
     pub fn is_overloaded(&self) -> bool {
