Start no task while a report lists another run of it

Callers saw: two runs of one task at once when the next incarnation of a worker executed a start order late. Cause: a run that the records do not place on its worker was stopped, but its task stayed free and started elsewhere until the stop had ended it. And a report in answer to a call for an earlier incarnation only ended that one; the runs that it lists were not read. Evidence: in task_is_not_started_while_a_report_lists_an_unplaced_run_of_it, run 2 is freed by such a report, which lists run 1, and run 3 starts before the next report. Change: the task of such a run is placed on it until it is gone, and a report of a later incarnation counts as its first report at once. Why it works: a placed task starts no other run, and the run is known in the same step that frees the earlier one.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -53,13 +53,24 @@
         }
     }
 
-    /// Handles a report that names another incarnation than the one that was called.
-    fn on_report_of_other(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, started_at: u64) {
-        if self.workers.get(incarnation).is_none_or(Worker::is_ended_by_other) {
-            let other = WorkerIncarnation::new(&incarnation.id, started_at);
-            self.replace_incarnation(now, incarnation, Some(&other), "report names another incarnation");
-        } else {
-            self.on_lease_error(now, incarnation, OrderError::OtherIncarnation);
+    /// Handles a report that names another incarnation than the one that was called; a later one is in place of it.
+    fn on_report_of_other(
+        &mut self,
+        now: Timestamp,
+        wall: u64,
+        incarnation: &WorkerIncarnation,
+        other: &WorkerIncarnation,
+        report: &Report,
+    ) {
+        let Some(called) = self.workers.get(incarnation) else { return };
+        if !called.is_ended_by_other() {
+            return self.on_lease_error(now, incarnation, OrderError::OtherIncarnation);
+        }
+        let (address, sent) = (called.called_address.clone(), called.sent_at());
+        self.replace_incarnation(now, incarnation, Some(other), "report names another incarnation");
+        if let (Some(worker), Some(sent)) = (self.workers.get_mut(other), sent) {
+            worker.called_address = address;
+            self.accept_report(now, wall, other, report, sent);
         }
     }
 
@@ -124,20 +135,35 @@
         report: &Report,
     ) {
         if let Some(started_at) = report.started_at.filter(|at| *at != incarnation.started_at) {
-            return self.on_report_of_other(now, incarnation, started_at);
+            let other = WorkerIncarnation::new(&incarnation.id, started_at);
+            return self.on_report_of_other(now, wall, incarnation, &other, report);
+        }
+        let Some(worker) = self.workers.get_mut(incarnation) else { return };
+        let sent = worker.sent_at().unwrap_or(now);
+        worker.confirmed_ack = worker.confirmed_ack.max(worker.pending_ack);
+        worker.pending_ack = 0;
+        self.accept_report(now, wall, incarnation, report, sent);
+        if let Some(worker) = self.workers.get_mut(incarnation) {
+            let delay = if worker.last_end > worker.acked_end { UNSTORED_ENDS_DELAY } else { Duration::ZERO };
+            worker.lease_extension = LeaseExtension::Due(now + delay);
         }
+    }
+
+    /// Takes over what a worker reports in answer to a call sent at `sent`.
+    fn accept_report(
+        &mut self,
+        now: Timestamp,
+        wall: u64,
+        incarnation: &WorkerIncarnation,
+        report: &Report,
+        sent: Timestamp,
+    ) {
         if self.workers.get(incarnation).is_some_and(|w| !w.has_reported) {
             self.replace_earlier(now, incarnation);
         }
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         worker.reported_address.clone_from(&worker.called_address);
-        let sent = match worker.lease_extension {
-            LeaseExtension::InFlight(at) => at,
-            LeaseExtension::Due(_) => now,
-        };
         worker.note_report(now, sent);
-        worker.confirmed_ack = worker.confirmed_ack.max(worker.pending_ack);
-        worker.pending_ack = 0;
         worker.lease.observe(now, report.clock);
         if !worker.has_reported {
             worker.has_reported = true;
@@ -191,8 +217,6 @@
         }
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.last_end = last_end;
-            let delay = if worker.last_end > worker.acked_end { UNSTORED_ENDS_DELAY } else { Duration::ZERO };
-            worker.lease_extension = LeaseExtension::Due(now + delay);
         }
     }
 
@@ -237,7 +261,7 @@
     }
 
     /// Handles a run that the records do not place on this worker. It counts against the capacity until it is gone, and is
-    /// stopped unless runs of its task may overlap and the task is not done.
+    /// stopped unless runs of its task may overlap and the task is not done. Until then its task starts no other run.
     fn on_unplaced_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
         let job = self.jobs.get(&task.step.job);
         let step_spec = job.and_then(|j| j.spec.steps.get(task.step.step as usize));
@@ -253,10 +277,48 @@
         let speculative = known.is_some_and(|(_, _, speculative)| speculative);
         if !speculative || done {
             log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not placed on this worker\"");
+            if !done {
+                self.adopt_run(now, incarnation, task, run);
+            }
             self.send_stop(task, run, incarnation);
         }
     }
 
+    /// Places a run that is being stopped, unless its task has another run.
+    fn adopt_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
+        let key = task.step;
+        if self.has_unsent_run(task) {
+            self.stop_task(now, task);
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let steps = job.occurrences.get_mut(key.occurrence as usize);
+        let step = steps.and_then(|steps| steps.get_mut(key.step as usize));
+        let Some(state) = step.and_then(|step| step.tasks.get_mut(task.index as usize)) else { return };
+        if state.placement.is_some() {
+            return;
+        }
+        state.run = state.run.max(run);
+        state.placement = Some(Placement {
+            incarnation: incarnation.clone(),
+            run,
+            phase: Phase::Stopping(None),
+            percent: 0,
+            last_progress: now,
+            measured_from: None,
+        });
+        job.active_runs += 1;
+        self.batch.progress.insert(key.job);
+        self.rerank_step(now, key);
+    }
+
+    /// Whether the start order of a task's run has not been sent.
+    fn has_unsent_run(&self, task: TaskKey) -> bool {
+        let key = task.step;
+        let steps = self.jobs.get(&key.job).and_then(|j| j.occurrences.get(key.occurrence as usize));
+        let state = steps.and_then(|s| s.get(key.step as usize)?.tasks.get(task.index as usize));
+        state.and_then(|t| t.placement.as_ref()).is_some_and(|p| p.phase == Phase::Storing)
+    }
+
     /// Returns whether the job has ended before this task was done, so that its run is no longer needed.
     fn is_obsolete(&self, task: TaskKey) -> bool {
         self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) && !self.is_done(task)
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -290,6 +290,15 @@
         self.pace.percent.min(self.pace_limit.percent)
     }
 
+    /// Returns when the call in flight was sent; `None` if there is none.
+    #[must_use]
+    pub const fn sent_at(&self) -> Option<Timestamp> {
+        match self.lease_extension {
+            LeaseExtension::InFlight(at) => Some(at),
+            LeaseExtension::Due(_) => None,
+        }
+    }
+
     /// Returns the number of ended runs that the next call acknowledges; 0 for none.
     ///
     /// The next incarnation under the worker's id counts its ends from 1 again and would drop those that nobody has read. A
