Count only unanswered orders to an earlier incarnation, and none in the lease of the same one

Callers saw: tasks of a worker that came back from a cut and was then lost waited for 22 s with the fleet idle. Cause: the lease of a worker whose id had been removed before lasted until 12 s and the longest lease after the removal, also if the same incarnation came back, and if every order had been answered. And an earlier incarnation that was removed while the next one was known passed nothing on. Change: a worker keeps when the last order was sent that extends its lease and was not answered. Only a later incarnation counts it, and only from that time on. Why it works: an order that was answered is not executed again, and on the clock of the same incarnation the deadline has passed. Result: the new test failed and holds.

--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -208,8 +208,9 @@
     options: OwnerOptions,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<WorkerIncarnation, Worker>,
-    /// When the last incarnation under an id was removed that this owner had called; orders to it may still be executed.
-    removed: BTreeMap<Arc<str>, Timestamp>,
+    /// Start time of the last incarnation under an id that was removed, and when the last order to it was sent that extends
+    /// its lease and was not answered; a later incarnation may still execute it.
+    unanswered: BTreeMap<Arc<str>, (u64, Timestamp)>,
     /// Steps with a pending task that may start, in the order of their rank.
     ready: ReadySteps,
     /// Number of jobs by queue that have not begun.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -55,7 +55,7 @@
             self.entitlements.expire(now);
             self.update_workspace_status();
             self.forget_losses();
-            self.removed.retain(|_, at| now < *at + MAX_ORDER_DELAY);
+            self.unanswered.retain(|_, (_, at)| now < *at + MAX_ORDER_DELAY);
             self.expire_capped(now);
             self.refresh_speeds(now);
             self.refresh_neighbours(now);
@@ -87,6 +87,7 @@
             worker.lease_extension = LeaseExtension::InFlight(now);
             worker.called_address.clone_from(&worker.entry.address);
             worker.pending_ack = worker.next_ack();
+            worker.pending_extension = deadline.map(|_| now);
             self.actions.push(Action::ExtendLease {
                 incarnation: incarnation.clone(),
                 address: worker.entry.address.clone(),
@@ -104,15 +105,6 @@
         for incarnation in incarnations {
             let Some(worker) = self.workers.get(&incarnation) else { continue };
             let fate = if worker.entry.draining { WorkerFate::Left } else { WorkerFate::Unknown };
-            let bound = worker.lease.bound();
-            if !worker.runs.is_empty() {
-                self.counters.expired_leases.add(bound);
-                log::warn!(
-                    target: "decision",
-                    "worker worker={incarnation} outcome=lapsed runs={} bound={bound}",
-                    worker.runs.len()
-                );
-            }
             let is_unlisted = worker.unlisted_since.is_some();
             if is_unlisted {
                 // The lease proves nothing for runs that the next incarnation, once listed, may have started.
@@ -120,11 +112,23 @@
                 if let Some(next) = next {
                     self.move_unseen_runs(now, &incarnation, &next, fate);
                 }
+            }
+            let Some(worker) = self.workers.get(&incarnation) else { continue };
+            let lost = worker.runs.len();
+            if lost > 0 {
+                let bound = worker.lease.bound();
+                self.counters.expired_leases.add(bound);
+                log::warn!(
+                    target: "decision",
+                    "worker worker={incarnation} outcome=lapsed runs={lost} bound={bound}"
+                );
+            }
+            if is_unlisted {
                 let reason = "missing from the registry, lease expired";
                 self.end_incarnation(now, &incarnation, fate, EndProof::Lapsed, reason);
-                continue;
+            } else {
+                self.lose_runs(now, &incarnation, fate, EndProof::Lapsed);
             }
-            self.lose_runs(now, &incarnation, fate, EndProof::Lapsed);
         }
     }
 
@@ -148,8 +152,13 @@
         let worker = self.workers.entry(incarnation.clone()).or_insert_with(|| {
             log::info!(target: "decision", "worker worker={incarnation} outcome=registered capacity={}", entry.capacity);
             let mut worker = Worker::new(entry.clone(), now, inherited);
-            if let Some(at) = self.removed.get(&incarnation.id) {
-                worker.lease.include_late_orders(*at, self.options.max_lease);
+            match self.unanswered.get(&incarnation.id) {
+                Some((started_at, at)) if *started_at < incarnation.started_at => {
+                    worker.inherit_unanswered(*at, self.options.max_lease);
+                }
+                // The deadline of an order to the same incarnation has passed on its clock.
+                Some((_, at)) => worker.unanswered = Some(*at),
+                None => {}
             }
             worker
         });
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -35,7 +35,7 @@
     ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
         let runs: Vec<_> = worker.runs.iter().map(|(key, run)| (*key, run.clone())).collect();
-        let beside = runs.len().saturating_sub(1);
+        let beside = worker.runs.len().saturating_sub(1);
         let silent_since = worker.silent_since.unwrap_or(now);
         for ((task, run), reserved) in &runs {
             let age = reserved.age_at(silent_since).as_millis();
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -66,7 +66,7 @@
             options,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
-            removed: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
             ready: ReadySteps::default(),
             queued_jobs: BTreeMap::new(),
             batch: Batch::default(),
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -39,6 +39,7 @@
             log::warn!(target: "decision", "worker worker={incarnation} outcome=misdirected reason=\"the entry has another address\"");
         }
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
+        worker.fail_extension(error == OrderError::Silent);
         worker.lease_extension = LeaseExtension::Due(now + UNANSWERED_CALL_DELAY);
         if worker.is_responsive {
             worker.is_responsive = false;
@@ -62,11 +63,12 @@
         other: &WorkerIncarnation,
         report: &Report,
     ) {
-        let Some(called) = self.workers.get(incarnation) else { return };
+        let Some(called) = self.workers.get_mut(incarnation) else { return };
         if !called.is_ended_by_other() {
             return self.on_lease_error(now, incarnation, OrderError::OtherIncarnation);
         }
         let (address, sent) = (called.called_address.clone(), called.sent_at());
+        called.pending_extension = None;
         self.replace_incarnation(now, incarnation, Some(other), "report names another incarnation");
         if let (Some(worker), Some(sent)) = (self.workers.get_mut(other), sent) {
             worker.called_address = address;
@@ -142,6 +144,7 @@
         let sent = worker.sent_at().unwrap_or(now);
         worker.confirmed_ack = worker.confirmed_ack.max(worker.pending_ack);
         worker.pending_ack = 0;
+        worker.pending_extension = None;
         self.accept_report(now, wall, incarnation, report, sent);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             let delay = if worker.last_end > worker.acked_end { UNSTORED_ENDS_DELAY } else { Duration::ZERO };
@@ -352,11 +355,8 @@
                 continue;
             };
             let phase = placement.phase;
-            let is_started = self
-                .workers
-                .get(incarnation)
-                .and_then(|w| w.runs.get(&(task, run)))
-                .is_none_or(|r| r.is_started);
+            let reserved = self.workers.get(incarnation).and_then(|w| w.runs.get(&(task, run)));
+            let is_started = reserved.is_none_or(|r| r.is_started);
             // The worker may not list a run that it is stopping.
             let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
             awaits_report |= matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -55,9 +55,7 @@
         next: &WorkerIncarnation,
     ) {
         let Some(earlier) = self.workers.get(incarnation) else { return };
-        let is_called = !earlier.called_address.is_empty();
-        // Nothing that extends a lease is sent to a silent worker.
-        let last_extension = earlier.silent_since.unwrap_or(now);
+        let last = earlier.last_unanswered();
         let inherited = self.inherited_expiry(now);
         let entry = WorkerEntry {
             incarnation: next.clone(),
@@ -65,16 +63,29 @@
             remaining: None,
             ..earlier.entry.clone()
         };
-        let worker = self
-            .workers
+        self.workers
             .entry(next.clone())
             .or_insert_with(|| Worker { unlisted_since: Some(now), ..Worker::new(entry, now, inherited) });
-        if is_called {
-            worker.lease.include_late_orders(last_extension, self.options.max_lease);
+        if let Some(last) = last {
+            self.pass_on_orders(now, incarnation, last);
+        }
+    }
+
+    /// Passes on to the later incarnations of a worker the orders to an earlier one, the last of which was sent at `last`.
+    pub(super) fn pass_on_orders(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        last: Timestamp,
+    ) {
+        for next in self.incarnations_of(incarnation, |other| other > incarnation.started_at) {
+            let Some(worker) = self.workers.get_mut(&next) else { continue };
+            worker.inherit_unanswered(last, self.options.max_lease);
             let lease = worker.lease.expiry().since(now).as_millis();
             log::info!(
                 target: "decision",
-                "worker worker={next} outcome=succeeds earlier={incarnation} lease_ms={lease} bound={}",
+                "worker worker={next} outcome=succeeds earlier={incarnation} unanswered_ms={} lease_ms={lease} bound={}",
+                now.since(last).as_millis(),
                 worker.lease.bound()
             );
         }
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -57,6 +57,9 @@
             // A refusal as old may answer a copy of an order that was executed.
             Err(error @ (OrderError::Silent | OrderError::Old)) => {
                 placement.phase = Phase::Unconfirmed(now);
+                if let Some(worker) = self.workers.get_mut(incarnation) {
+                    worker.time_out_start(task, run);
+                }
                 log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome={error:?}");
                 return;
             }
@@ -388,9 +391,11 @@
         if fate == WorkerFate::Crashed {
             self.counters.crashed_workers += 1;
         }
-        self.lose_runs(now, incarnation, fate, proof);
-        if self.workers.remove(incarnation).is_some_and(|w| !w.called_address.is_empty()) {
-            self.removed.insert(incarnation.id.clone(), now);
+        if let Some(last) = worker.last_unanswered() {
+            self.unanswered.insert(incarnation.id.clone(), (incarnation.started_at, last));
+            self.pass_on_orders(now, incarnation, last);
         }
+        self.lose_runs(now, incarnation, fate, proof);
+        self.workers.remove(incarnation);
     }
 }
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -25,6 +25,8 @@
     pub is_inherited: bool,
     /// Whether the worker certainly started the run: it answered the order or listed the run.
     pub is_started: bool,
+    /// Whether the start order was answered, so that it is not executed any more.
+    pub is_answered: bool,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
     /// Resources that count against the cap of the workspace: the full request, also of a filler.
@@ -114,6 +116,10 @@
     pub last_end: u64,
     /// State of the call that extends the lease.
     pub lease_extension: LeaseExtension,
+    /// When the call in flight was sent, if it extends the lease.
+    pub pending_extension: Option<Timestamp>,
+    /// When the last order that extends the lease was sent to this or an earlier incarnation and was not answered.
+    pub unanswered: Option<Timestamp>,
     /// Whether a report is awaited to tell whether a run exists.
     pub awaits_report: bool,
     /// Runs that may be active on the worker, by task and run number.
@@ -157,6 +163,8 @@
             pending_ack: 0,
             last_end: 0,
             lease_extension: LeaseExtension::Due(now),
+            pending_extension: None,
+            unanswered: None,
             awaits_report: false,
             runs: BTreeMap::new(),
             probations: 0,
@@ -186,6 +194,7 @@
             ordered_at,
             is_inherited: ordered_at.is_some(),
             is_started: false,
+            is_answered: false,
             listed_at: None,
             counted,
             workspace,
@@ -243,6 +252,7 @@
     pub fn confirm_start(&mut self, task: TaskKey, run: u32) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
             reserved.is_started = true;
+            reserved.is_answered = true;
         }
     }
 
@@ -253,6 +263,34 @@
         }
     }
 
+    /// Records that the start order of a run timed out.
+    pub fn time_out_start(&mut self, task: TaskKey, run: u32) {
+        if let Some(reserved) = self.runs.get(&(task, run)) {
+            self.unanswered = self.unanswered.max(reserved.ordered_at);
+        }
+    }
+
+    /// Records that the call that extends the lease failed; `is_silent` if it may be executed all the same.
+    pub fn fail_extension(&mut self, is_silent: bool) {
+        let sent = self.pending_extension.take().filter(|_| is_silent);
+        self.unanswered = self.unanswered.max(sent);
+    }
+
+    /// Returns when the last order was sent that extends the lease and is not answered.
+    #[must_use]
+    pub fn last_unanswered(&self) -> Option<Timestamp> {
+        let pending = self.runs.values().filter(|run| !run.is_answered && !run.is_inherited);
+        let pending = pending.filter(|run| run.listed_at.is_none()).filter_map(|run| run.ordered_at).max();
+        self.unanswered.max(self.pending_extension).max(pending)
+    }
+
+    /// Records an order to an earlier incarnation that was sent at `last` and not answered, so that this one may execute it;
+    /// its lease then lasts up to `longest`.
+    pub fn inherit_unanswered(&mut self, last: Timestamp, longest: Duration) {
+        self.unanswered = self.unanswered.max(Some(last));
+        self.lease.include_late_orders(last, longest);
+    }
+
     /// Releases the resources of a run, and returns what was reserved.
     pub fn release(&mut self, task: TaskKey, run: u32) -> Option<ReservedRun> {
         self.ordered_paces.remove(&(task, run));
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -4,8 +4,9 @@
 use yuccahoist::shard::message::WorkerEntry;
 use yuccahoist::shard::record::JobState;
 use yuccahoist::shard::{Event, JobKey};
+use yuccahoist::unit::Resources;
 
-use super::cluster::{SimulatedCluster, spec};
+use super::cluster::{SimulatedCluster, WORKER_CAPACITY, spec};
 
 /// Duration of the tasks, milliseconds; longer than a lease.
 const TASK_MS: u64 = 20_000;
@@ -220,3 +221,26 @@
         assert_eq!(cluster.query_state(1), Some(JobState::Completed), "{}", case.name);
     }
 }
+
+/// The tasks of a worker that came back from a cut and was lost again waited for orders that only a restarted one could execute.
+#[test]
+fn tasks_of_a_worker_that_came_back_wait_for_its_lease_only() {
+    for millis in [5_000, 6_500, 9_000] {
+        let mut cluster = SimulatedCluster::new(1, 2);
+        cluster.advance(1_000);
+        cluster.disconnect(0, millis, false);
+        cluster.advance(3_100);
+        cluster.unlist(0);
+        cluster.advance(millis);
+        cluster.register(0);
+        cluster.resize_worker(1, Resources::new(1_000, 1_000, 0));
+        cluster.advance(200);
+        cluster.submit(1, spec(2, TASK_MS));
+        cluster.advance(1_500);
+        assert_eq!(cluster.workers_of(1), [0], "cut for {millis} ms: the worker is not used again");
+        cluster.resize_worker(1, WORKER_CAPACITY);
+        cluster.crash_worker(0, 600_000);
+        cluster.advance(RESTART_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 4, "cut for {millis} ms: tasks did not restart");
+    }
+}
