Keep a task placed while a later incarnation may execute its start order

Callers saw: two runs of one task at once, or a start after the task was done, when a start order that was not answered came late to a worker that had started again under its id. Cause: a confirmed stop, a lapsed lease and the absence of a run from a report hold for one incarnation, while a start order that was not answered can be executed for 12 s by the next one. Change: a run whose start order was neither answered nor listed in a report keeps its task for 12 s after the call has timed out, unless the order has a ticket: an incarnation that starts later refuses that. Orders of previous owners count as executed. Why it works: after that time no incarnation executes the order, and until then the run is looked for on each incarnation. Result: order_that_outlives_a_confirmed_stop_is_not_doubled, order_that_outlives_a_lease_is_not_doubled, order_is_followed_through_several_restarts and stopped_order_executed_by_a_restarted_worker_is_not_doubled failed and hold. The first of these demanded as its premise that the task has started elsewhere within 2.5 s, which is the fault; it now demands that it has not.

--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -114,16 +114,17 @@
                 }
             }
             let Some(worker) = self.workers.get(&incarnation) else { continue };
-            let lost = worker.runs.len();
+            let held = worker.runs.values().filter(|run| run.is_open(now)).count();
+            let lost = worker.runs.len() - held;
             if lost > 0 {
                 let bound = worker.lease.bound();
                 self.counters.expired_leases.add(bound);
                 log::warn!(
                     target: "decision",
-                    "worker worker={incarnation} outcome=lapsed runs={lost} bound={bound}"
+                    "worker worker={incarnation} outcome=lapsed runs={lost} held={held} bound={bound}"
                 );
             }
-            if is_unlisted {
+            if is_unlisted && held == 0 {
                 let reason = "missing from the registry, lease expired";
                 self.end_incarnation(now, &incarnation, fate, EndProof::Lapsed, reason);
             } else {
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -122,7 +122,7 @@
             return;
         };
         placement.phase = Phase::Starting;
-        worker.order(now, task, run);
+        worker.order(now, task, run, ticket.is_some());
         self.counters.starts += 1;
         self.actions.push(Action::Start {
             incarnation,
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -9,6 +9,7 @@
 use crate::shard::message::{EndKind, WorkerEntry};
 use crate::shard::record::{JobState, TaskLoss};
 use crate::shard::run_end::EndProof;
+use crate::shard::worker::ReservedRun;
 use crate::unit::Timestamp;
 
 /// Runs of a lost worker that may be unreachable only.
@@ -25,7 +26,8 @@
 }
 
 impl Owner {
-    /// Ends all runs of a lost worker.
+    /// Ends the runs of a lost worker; if its lease has expired, apart from those whose start orders a later incarnation may
+    /// still execute.
     pub(super) fn lose_runs(
         &mut self,
         now: Timestamp,
@@ -34,7 +36,9 @@
         proof: EndProof,
     ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
-        let runs: Vec<_> = worker.runs.iter().map(|(key, run)| (*key, run.clone())).collect();
+        let is_over = |run: &ReservedRun| proof != EndProof::Lapsed || !run.is_open(now);
+        let runs = worker.runs.iter().filter(|(_, run)| is_over(run));
+        let runs: Vec<_> = runs.map(|(key, run)| (*key, run.clone())).collect();
         let beside = worker.runs.len().saturating_sub(1);
         let silent_since = worker.silent_since.unwrap_or(now);
         for ((task, run), reserved) in &runs {
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -177,6 +177,7 @@
                         worker.unlisted_since = Some(now);
                         let (run, workspace) = (placement.run, workspace.clone());
                         worker.reserve(task_key, run, resources, counted, workspace, Some(now));
+                        worker.order(now, task_key, run, spec.queue.recommendation.is_some());
                         job.active_runs += 1;
                     }
                     if stored.done {
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -357,18 +357,19 @@
             let phase = placement.phase;
             let reserved = self.workers.get(incarnation).and_then(|w| w.runs.get(&(task, run)));
             let is_started = reserved.is_none_or(|r| r.is_started);
+            let is_open = reserved.is_some_and(|r| r.is_open(now));
             // The worker may not list a run that it is stopping.
             let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
-            awaits_report |= matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
+            awaits_report |= !is_open && matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
             match phase {
                 Phase::Storing | Phase::Starting | Phase::Stopping(None) => {}
                 // Once stopped, the run can't begin on this incarnation any more.
                 Phase::Unconfirmed(at) | Phase::Running(at) if at <= sent => self.stop_task(now, task),
-                Phase::Stopping(Some(at)) if at + stop_time < sent => {
+                Phase::Stopping(Some(at)) if at + stop_time < sent && !is_open => {
                     self.drop_placement(now, task, run, EndProof::Stopped);
                 }
-                Phase::Inherited => self.drop_placement(now, task, run, EndProof::Fenced),
-                Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
+                Phase::Inherited if !is_open => self.drop_placement(now, task, run, EndProof::Fenced),
+                Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) | Phase::Inherited => {}
             }
         }
         if let Some(worker) = self.workers.get_mut(incarnation) {
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -58,7 +58,7 @@
             Err(error @ (OrderError::Silent | OrderError::Old)) => {
                 placement.phase = Phase::Unconfirmed(now);
                 if let Some(worker) = self.workers.get_mut(incarnation) {
-                    worker.time_out_start(task, run);
+                    worker.time_out_start(now, task, run);
                 }
                 log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome={error:?}");
                 return;
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -6,7 +6,7 @@
 
 use super::health::Health;
 use super::id::{JobKey, StepKey, TaskKey};
-use super::lease::Lease;
+use super::lease::{Lease, MAX_ORDER_DELAY};
 use super::loss::START_AGE;
 use super::message::WorkerEntry;
 use super::pacing::Pace;
@@ -27,6 +27,10 @@
     pub is_started: bool,
     /// Whether the start order was answered, so that it is not executed any more.
     pub is_answered: bool,
+    /// When the start order timed out.
+    pub timed_out: Option<Timestamp>,
+    /// Whether the start order has a ticket, which no incarnation that starts later accepts.
+    pub has_ticket: bool,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
     /// Resources that count against the cap of the workspace: the full request, also of a filler.
@@ -61,6 +65,17 @@
         self.ordered_at.is_some() && !self.is_inherited && self.age_at(silent_since) < START_AGE
     }
 
+    /// Whether an incarnation that starts later may still execute the start order.
+    ///
+    /// An order of a previous owner counts as executed: how long ago it was sent is unknown, and its tasks should not wait after
+    /// each change of owner.
+    #[must_use]
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        let is_executed = self.is_answered || self.listed_at.is_some() || self.is_inherited;
+        let sent = self.timed_out.or(self.ordered_at).filter(|_| !is_executed && !self.has_ticket);
+        sent.is_some_and(|at| now < at + MAX_ORDER_DELAY)
+    }
+
     /// Whether the run may still crash its worker, as earlier runs of its task may have done.
     #[must_use]
     pub fn is_on_probation(&self) -> bool {
@@ -195,6 +210,8 @@
             is_inherited: ordered_at.is_some(),
             is_started: false,
             is_answered: false,
+            timed_out: None,
+            has_ticket: false,
             listed_at: None,
             counted,
             workspace,
@@ -256,16 +273,18 @@
         }
     }
 
-    /// Records that the start order of a run is sent.
-    pub fn order(&mut self, now: Timestamp, task: TaskKey, run: u32) {
+    /// Records that the start order of a run is sent, with a ticket or without.
+    pub fn order(&mut self, now: Timestamp, task: TaskKey, run: u32, has_ticket: bool) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
             reserved.ordered_at.get_or_insert(now);
+            reserved.has_ticket = has_ticket;
         }
     }
 
     /// Records that the start order of a run timed out.
-    pub fn time_out_start(&mut self, task: TaskKey, run: u32) {
-        if let Some(reserved) = self.runs.get(&(task, run)) {
+    pub fn time_out_start(&mut self, now: Timestamp, task: TaskKey, run: u32) {
+        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
+            reserved.timed_out = Some(now);
             self.unanswered = self.unanswered.max(reserved.ordered_at);
         }
     }
