Search schedules of restarts, cuts and takeovers

The usual search draws few restarts that a takeover and a cut follow, and leaves out late extensions around a restart.

A second search draws late calls, a restart or crash of their worker, a change or freeze of the owner and a cut, with leases of up to 6 or 10 s and steps that need tickets. The usual schedules stay as they are.

--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -32,7 +32,7 @@
 /// Largest record that the store takes, bytes; it refuses a larger one for ever.
 const MAX_RECORD_BYTES: usize = 262_144;
 /// Longest lease that a worker takes unless a test sets another one; defined by the platform.
-const MAX_LEASE_MS: u64 = 10_000;
+pub const MAX_LEASE_MS: u64 = 10_000;
 /// Starts of a task after its third crash that break its budget.
 const MAX_STARTS_AFTER_CRASHES: u32 = 3;
 /// Capacity of each worker.
--- a/yuccahoist/tests/shard/interleavings.rs
+++ b/yuccahoist/tests/shard/interleavings.rs
@@ -2,6 +2,7 @@
 //!
 //! Each seed draws a few events; then the cluster is left alone, and every accepted job must complete. A seed that fails
 //! prints the fewest events that still fail. `YUCCAHOIST_SCHEDULES=FIRST-LAST` plays these seeds instead of the usual ones.
+//! A second search plays schedules of restarts with calls on their way, followed by cuts and changes of owner.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -17,7 +18,9 @@
 use yuccahoist::shard::spec::{JobSpec, StepSpec};
 use yuccahoist::unit::Resources;
 
-use super::cluster::{CallFault, CallKind, Departure, Faults, SimulatedCluster, in_workspace, spec};
+use super::cluster::{
+    CallFault, CallKind, Departure, Faults, MAX_LEASE_MS, SimulatedCluster, in_workspace, spec,
+};
 
 /// Variable that names the seeds to play.
 const SEEDS_VARIABLE: &str = "YUCCAHOIST_SCHEDULES";
@@ -60,6 +63,8 @@
     TwoSteps,
     /// Tasks count against the cap of a workspace.
     Capped,
+    /// Each start needs a ticket.
+    Recommended,
 }
 
 /// Event of a schedule; times are in milliseconds.
@@ -109,12 +114,15 @@
 struct Schedule {
     seed: u64,
     registry_delay: u64,
+    /// Longest lease that a worker takes, milliseconds.
+    max_lease: u64,
     events: Vec<(u64, Event)>,
 }
 
 impl fmt::Display for Schedule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "seed {}, registry delay up to {} ms", self.seed, self.registry_delay)?;
+        let Self { seed, registry_delay, max_lease, .. } = self;
+        write!(f, "seed {seed}, registry delay up to {registry_delay} ms, leases up to {max_lease} ms")?;
         self.events.iter().try_for_each(|(at, event)| write!(f, "\n  {at:>6} ms {event:?}"))
     }
 }
@@ -131,11 +139,31 @@
             events.push((rng.random_range(500..SCHEDULE_MS), draw_event(rng)));
         }
         events.sort_by_key(|(at, _)| *at);
-        let mut schedule = Self { seed, registry_delay, events };
+        let mut schedule = Self { seed, registry_delay, max_lease: MAX_LEASE_MS, events };
         schedule.leave_out_known();
         schedule
     }
 
+    /// Draws a schedule in which each worker that restarts has calls on their way, and in which it is cut off and the owner
+    /// changes soon afterwards.
+    fn draw_restarts(seed: u64) -> Self {
+        let rng = &mut ChaCha8Rng::seed_from_u64(seed);
+        let registry_delay = if rng.random_bool(0.7) { 0 } else { rng.random_range(0..1_000) };
+        let max_lease = if rng.random_bool(0.5) { 6_000 } else { MAX_LEASE_MS };
+        let mut events = Vec::new();
+        for _ in 0..rng.random_range(1..4) {
+            events.push((rng.random_range(100..4_000), draw_long_job(rng)));
+        }
+        for _ in 0..rng.random_range(1..=2) {
+            draw_restart(rng, &mut events);
+        }
+        for _ in 0..rng.random_range(0..3) {
+            events.push((rng.random_range(500..SCHEDULE_MS), draw_event(rng)));
+        }
+        events.sort_by_key(|(at, _)| *at);
+        Self { seed, registry_delay, max_lease, events }
+    }
+
     /// Leaves out a late lease extension whose worker restarts before it is executed: it acknowledges ends of the next
     /// incarnation, see `extension_for_an_earlier_incarnation_acknowledges_no_end_of_the_later`.
     fn leave_out_known(&mut self) {
@@ -192,6 +220,50 @@
     Event::Submit { kind, tasks, millis }
 }
 
+fn draw_long_job(rng: &mut ChaCha8Rng) -> Event {
+    let kinds =
+        [Kind::Single, Kind::Single, Kind::Spread, Kind::Checkpoints, Kind::LongRunning, Kind::Recommended];
+    let kind = kinds[rng.random_range(0..kinds.len())];
+    let tasks = if kind == Kind::LongRunning { 1 } else { rng.random_range(1..8) };
+    let millis =
+        if rng.random_bool(0.4) { rng.random_range(200..1_500) } else { rng.random_range(5_000..16_000) };
+    Event::Submit { kind, tasks, millis }
+}
+
+/// Draws a restart of a worker, late calls before it, and a cut and a change of owner after it.
+fn draw_restart(rng: &mut ChaCha8Rng, events: &mut Vec<(u64, Event)>) {
+    let worker = rng.random_range(0..WORKERS);
+    let at = rng.random_range(1_500..8_000);
+    if rng.random_bool(0.8) {
+        let late = if rng.random_bool(0.3) { LATE_MS } else { 2_500 };
+        let kind = if rng.random_bool(0.7) { CallKind::ExtendLease } else { CallKind::Start };
+        let fault = CallFault::ExecutedAfter(rng.random_range(50..late));
+        events.push((at - rng.random_range(0..1_200), Event::Fault { worker, kind, fault }));
+    }
+    if rng.random_bool(0.5) {
+        events.push((at - rng.random_range(0..500), draw_long_job(rng)));
+    }
+    if rng.random_bool(0.7) {
+        let again_after = rng.random_bool(0.2).then(|| rng.random_range(10..3_000));
+        events.push((at, Event::Restart { worker, again_after }));
+    } else {
+        events.push((at, Event::Crash { worker, down: rng.random_range(100..2_000), again_after: None }));
+    }
+    let change = at + rng.random_range(0..4_000);
+    if rng.random_bool(0.3) {
+        let millis = rng.random_range(200..3_000);
+        events.push((change.saturating_sub(millis), Event::FreezeOwner { millis: millis + 100 }));
+    }
+    if rng.random_bool(0.8) {
+        events.push((change, Event::TakeOver { write_lands: rng.random_bool(0.5) }));
+    }
+    let cut = change + rng.random_range(0..2_500);
+    events.push((
+        cut,
+        Event::Cut { worker, millis: rng.random_range(3_000..14_000), one_way: rng.random_bool(0.2) },
+    ));
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng) -> Event {
     let kinds = [CallKind::Start, CallKind::Start, CallKind::Stop, CallKind::ExtendLease];
     let fault = match rng.random_range(0..4) {
@@ -271,7 +343,7 @@
 
 impl Player {
     fn new(schedule: &Schedule) -> Self {
-        let mut cluster = SimulatedCluster::new(schedule.seed, WORKERS as u32);
+        let mut cluster = SimulatedCluster::with_max_lease(schedule.seed, WORKERS as u32, schedule.max_lease);
         cluster.max_registry_delay = schedule.registry_delay;
         cluster.checkpoint_bytes = 4;
         cluster.set_caps(&[("a", CAP)]);
@@ -385,7 +457,7 @@
         let step = &mut job.steps[0];
         step.resources = Resources::new(3_000, 4_000, 0);
         match kind {
-            Kind::Single | Kind::Capped => {}
+            Kind::Single | Kind::Capped | Kind::Recommended => {}
             Kind::Gang => step.gang = true,
             Kind::Checkpoints => step.checkpoints = true,
             Kind::LongRunning => {
@@ -400,7 +472,11 @@
             }
         }
         self.jobs.push(kind);
-        let job = if kind == Kind::Capped { in_workspace("a", CAP, job) } else { job };
+        let job = match kind {
+            Kind::Capped => in_workspace("a", CAP, job),
+            Kind::Recommended => SimulatedCluster::with_recommendation(job),
+            _ => job,
+        };
         self.cluster.submit(self.jobs.len() as u64, job);
     }
 
@@ -455,17 +531,28 @@
 }
 
 /// Plays every third seed, and returns the shortest schedules that fail, each with the rule it breaks.
-fn failures(seeds: Range<u64>) -> Vec<String> {
-    let failing = seeds.step_by(THREADS as usize).map(Schedule::draw).filter(|s| s.play().is_err());
+fn failures(seeds: Range<u64>, draw: fn(u64) -> Schedule) -> Vec<String> {
+    let failing = seeds.step_by(THREADS as usize).map(draw).filter(|s| s.play().is_err());
     let shortest = failing.map(Schedule::shrink);
     shortest.map(|s| format!("{}\n  {s}", s.play().err().unwrap_or_default())).collect()
 }
 
-#[test]
-fn mixed_schedules_break_no_rule() {
+/// Plays the schedules that `draw` returns for the seeds, and fails with those that break a rule.
+fn play_all(draw: fn(u64) -> Schedule) {
     let Range { start, end } = seeds();
     let threads: Vec<_> =
-        (start..start + THREADS).map(|first| thread::spawn(move || failures(first..end))).collect();
+        (start..start + THREADS).map(|first| thread::spawn(move || failures(first..end, draw))).collect();
     let failures: Vec<_> = threads.into_iter().flat_map(|t| t.join().expect("failures are caught")).collect();
     assert!(failures.is_empty(), "{} schedules fail:\n{}", failures.len(), failures.join("\n"));
 }
+
+#[test]
+fn mixed_schedules_break_no_rule() {
+    play_all(Schedule::draw);
+}
+
+/// Orders to an earlier incarnation prolonged runs, or acknowledged ends, which the next owner did not know of.
+#[test]
+fn restarts_before_cuts_and_takeovers_break_no_rule() {
+    play_all(Schedule::draw_restarts);
+}
