Tie tickets and clocks of the stand-in to an incarnation

A ticket was valid for every incarnation of its worker, and the clocks of the first incarnations started with the test, so that a deadline meant for one was hardly ahead on the clock of the next. A copy of an executed start did not extend the lease.

--- a/yuccahoist_standins/src/platform/fleet.rs
+++ b/yuccahoist_standins/src/platform/fleet.rs
@@ -88,8 +88,8 @@
     checkpoints: BTreeMap<String, BTreeSet<String>>,
     /// Gangs, by step and run, whose members all ran at once.
     complete_gangs: BTreeSet<(String, u32)>,
-    /// Step and worker of each ticket.
-    tickets: BTreeMap<String, (String, String)>,
+    /// Step, worker and start of its incarnation of each ticket.
+    tickets: BTreeMap<String, (String, String, u64)>,
     /// Time of the last delayed order.
     last_delayed_order: u64,
     caps: CapHistory,
@@ -203,7 +203,8 @@
             .map(|worker| (worker.clone(), format!("{:016x}", self.rng.random::<u64>())))
             .collect();
         for (worker, ticket) in &tickets {
-            self.tickets.insert(ticket.clone(), (step.into(), worker.clone()));
+            let started_at = self.workers.get(worker).map_or(0, |w| w.started_at);
+            self.tickets.insert(ticket.clone(), (step.into(), worker.clone(), started_at));
         }
         tickets
     }
@@ -227,6 +228,14 @@
         }
     }
 
+    /// Makes the present incarnations of all workers older, milliseconds; their clocks show as much more.
+    pub fn age_workers(&mut self, age: u64) {
+        for worker in self.workers.values_mut() {
+            worker.started_at = worker.started_at.saturating_sub(age);
+            worker.initial_clock += age;
+        }
+    }
+
     /// Restarts all workers with the slowest clocks, and with lease timers that fire up to `max_delay` milliseconds late.
     pub fn slow_clocks(&mut self, max_delay: u64) {
         for id in self.workers.keys().cloned().collect::<Vec<_>>() {
@@ -374,8 +383,9 @@
         }
         worker.highest_token = order.fencing_token;
         let key = (order.task_id.clone(), order.run_id);
-        let clock = worker.clock(now);
+        let (clock, started_at) = (worker.clock(now), worker.started_at);
         if worker.runs.contains_key(&key) {
+            worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + MAX_LEASE_MS));
             return Ok(clock);
         }
         if worker.highest_runs.get(&order.task_id).is_some_and(|highest| order.run_id <= *highest) {
@@ -389,7 +399,7 @@
         let Some(spec) = self.check_start(id, order) else { return Err(OrderRefusal::Invalid) };
         let job = job_and_step(&order.task_id).map_or("", |(job, _)| job);
         if self.jobs.get(job).is_some_and(|j| j.submission.advised) {
-            let ticket = (step, id.to_owned());
+            let ticket = (step, id.to_owned(), started_at);
             if self.tickets.get(&order.ticket_id) != Some(&ticket) {
                 return Err(OrderRefusal::Ticket);
             }
--- a/yuccahoist_standins/src/platform/fleet/worker.rs
+++ b/yuccahoist_standins/src/platform/fleet/worker.rs
@@ -43,8 +43,10 @@
     pub(super) spec: WorkerSpec,
     /// Start of the incarnation, Unix milliseconds.
     pub(super) started_at: u64,
-    /// Time at which the worker's clock reads 0.
+    /// Time at which the worker's clock read `initial_clock`.
     pub(super) clock_start: u64,
+    /// First reading of the worker's clock, milliseconds.
+    pub(super) initial_clock: u64,
     /// Speed of the worker's clock, percent of real time.
     pub(super) clock_percent: u64,
     /// Time from the end of the lease until its timer fires, milliseconds.
@@ -73,6 +75,7 @@
             spec,
             started_at,
             clock_start,
+            initial_clock: 0,
             clock_percent,
             timer_delay: 0,
             is_up: true,
@@ -89,7 +92,7 @@
     }
 
     pub(super) fn clock(&self, now: u64) -> u64 {
-        now.saturating_sub(self.clock_start) * self.clock_percent / 100
+        self.initial_clock + now.saturating_sub(self.clock_start) * self.clock_percent / 100
     }
 
     /// Returns the run's newest checkpoint, the finished work as hexadecimal milliseconds; empty without one.
