Complete a task with any run of it that is done

Callers saw: a task that was done started again after its worker had restarted under its id and was cut off. Cause: the end of a run that had been freed with its lease was acknowledged but ignored, also while its task had no other run. Its worker then forgets the end, so the task counts as done for good and yet starts again. Change: an end as done completes the task, whichever of its runs it is of, and other runs of it are stopped. Why it works: an end is acknowledged only after it took effect. Result: done_end_of_a_freed_run_completes_its_task failed in 3 of 3 cases and holds.

--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -281,9 +281,10 @@
             self.batch.progress.insert(key.job);
         }
         let task_state = &mut step.tasks[task.index as usize];
-        let takes_effect =
-            is_current || (step_spec.speculative && kind == EndKind::Done && run <= task_state.run);
-        if !takes_effect {
+        // Once its end is acknowledged, a task that is done must not start again, whichever run has completed it.
+        let completes =
+            kind == EndKind::Done && !step_spec.long_running && !task_state.done && run <= task_state.run;
+        if !is_current && !completes {
             log::info!(target: "decision", "end task={task} run={run} worker={incarnation} kind={kind:?} outcome=stale");
             if exhausted {
                 self.finish_job(now, key.job, JobState::Failed);
@@ -314,12 +315,27 @@
             step.tasks.iter_mut().for_each(|t| checkpoint.clone_into(&mut t.checkpoint));
         }
         self.batch.progress.insert(key.job);
+        if !is_current {
+            self.stop_done_tasks(now, key);
+        }
         if exhausted {
             self.finish_job(now, key.job, JobState::Failed);
         }
         self.advance_job(now, key);
     }
 
+    /// Stops the runs of a step's tasks that another run has completed.
+    fn stop_done_tasks(&mut self, now: Timestamp, key: StepKey) {
+        let steps = self.jobs.get(&key.job).and_then(|j| j.occurrences.get(key.occurrence as usize));
+        let Some(step) = steps.and_then(|steps| steps.get(key.step as usize)) else { return };
+        let placed = (0u32..).zip(&step.tasks).filter(|(_, task)| task.done && task.placement.is_some());
+        let placed: Vec<TaskKey> = placed.map(|(index, _)| key.task(index)).collect();
+        for task in placed {
+            log::info!(target: "decision", "stop task={task} reason=\"another run has completed it\"");
+            self.stop_task(now, task);
+        }
+    }
+
     fn advance_job(&mut self, now: Timestamp, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let complete = job.occurrences[key.occurrence as usize][key.step as usize].complete();
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -220,6 +220,44 @@
     assert_eq!(cluster.starts[&JobKey(2)], 4, "tasks that are done start again");
 }
 
+/// The end of a run that had been freed was acknowledged and ignored, so that its task, which was done, ran again.
+#[test]
+fn done_end_of_a_freed_run_completes_its_task() {
+    struct Case {
+        name: &'static str,
+        gang: bool,
+        /// Whether the other worker has room for the task.
+        has_room: bool,
+    }
+    let cases = [
+        Case { name: "runs again", gang: false, has_room: true },
+        Case { name: "waits for room", gang: false, has_room: false },
+        Case { name: "gang", gang: true, has_room: true },
+    ];
+    play_all(cases.map(|case| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.advance(100);
+            let mut job = spec(2, 3_900);
+            job.steps[0].gang = case.gang;
+            cluster.submit(1, job);
+            cluster.advance(1_000);
+            let worker = cluster.workers_of(1)[0];
+            if !case.has_room {
+                cluster.resize_worker(1 - worker, Resources::new(1_000, 1_000, 0));
+            }
+            cluster.disconnect(worker, 5_500, false);
+            cluster.advance(6_500);
+            let starts = if case.has_room { 4 } else { 2 };
+            assert_eq!(cluster.starts[&JobKey(1)], starts);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+            cluster.advance(1_000);
+            assert!(cluster.workers_of(1).is_empty(), "runs of done tasks are left");
+        };
+        (case.name.to_owned(), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
 /// An answer to a start or a stop that is lost, or that newer reports overtake, must not free the task of an active run.
 #[test]
 fn lost_and_overtaken_answers_double_no_run() {
