Tell by the clock in its answer which incarnation has started a run

Callers saw: two runs of a task at once when a worker started again under its id and was cut off before the owner knew of it; shown in the simulated cluster only. Cause: a start order to a worker that has restarted is executed and answered by the next incarnation. The owner counted the run for the earlier one, whose lease of 4 s then freed it, while the next one had taken its longest lease. Evidence: run_answered_by_an_unknown_incarnation_outlasts_the_lease_of_the_earlier. Answers to starts were not read; a report tells of the next incarnation only after the call in flight has timed out, up to 1.6 s. Change: the clock in the answer to a start is compared with that of the worker. If it is another one, the worker counts as silent, its lease as the longest, and a report is requested at once. Why it works: each incarnation has a clock of its own, and the lease of one that has executed an order ends at most the longest lease later.

--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -38,7 +38,7 @@
                         .await;
                 });
             }
-            Action::Start { incarnation, address, task, run, spec, deadline, checkpoint, ticket } => {
+            Action::Start { incarnation, address, task, run, spec, deadline, clock, checkpoint, ticket } => {
                 let (workers, inbox) = (self.ports.workers.clone(), self.inbox.clone());
                 tokio::spawn(async move {
                     let target = incarnation.clone();
@@ -49,6 +49,7 @@
                         run,
                         spec,
                         deadline,
+                        clock,
                         checkpoint,
                         ticket,
                     };
--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -22,6 +22,8 @@
 pub const MAX_EARLIER_ORDER_AGE: Duration = MAX_UNCONFIRMED_AGE.saturating_add(MAX_ORDER_DELAY);
 /// Difference between the times of day of two hosts; a time of day may jump by seconds.
 pub const MAX_CLOCK_OFFSET: Duration = Duration::from_secs(5);
+/// Longest time for which an answer with a reading of a worker's clock was on its way.
+const MAX_SAMPLE_AGE: Duration = Duration::from_secs(2);
 /// Default duration of a lease. Covers a takeover and a simultaneous power cut of all hosts of 1.5 s. Shorter than the
 /// platform allows, because the tasks of a dead worker start elsewhere only after its lease.
 pub const DEFAULT_LEASE: Duration = Duration::from_millis(4_000);
@@ -85,6 +87,24 @@
     }
 }
 
+/// Values that the clock of a worker may show, milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClockRange {
+    /// Lowest value.
+    pub low: u64,
+    /// Highest value.
+    pub high: u64,
+}
+
+impl ClockRange {
+    /// Whether the worker's clock may show `clock` up to `elapsed` later. Another incarnation's clock is elsewhere.
+    #[must_use]
+    pub fn admits(self, clock: u64, elapsed: Duration) -> bool {
+        let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        (self.low..=self.high.saturating_add(elapsed)).contains(&clock)
+    }
+}
+
 /// Clock and lease of a worker as the owner knows them.
 #[derive(Debug, Clone, Copy)]
 pub struct Lease {
@@ -122,6 +142,19 @@
         self.deadline
     }
 
+    /// Returns what the worker's clock shows at `now`; `None` before its first answer.
+    #[must_use]
+    pub fn clock_range(&self, now: Timestamp) -> Option<ClockRange> {
+        let (at, clock) = self.clock_sample?;
+        let after =
+            |elapsed: Duration| clock.saturating_add(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX));
+        let elapsed = now.since(at);
+        Some(ClockRange {
+            low: after(elapsed.mul_f64(MIN_CLOCK_RATE)),
+            high: after(elapsed + MAX_SAMPLE_AGE),
+        })
+    }
+
     /// Returns the last deadline that was sent, milliseconds on the worker's clock.
     #[must_use]
     pub const fn deadline(&self) -> Option<u64> {
@@ -166,6 +199,11 @@
         self.inherited_until = granted.max(earlier);
     }
 
+    /// Includes the lease of a later incarnation that has executed an order by `now`; it lasts `longest` at most.
+    pub fn include_successor(&mut self, now: Timestamp, longest: Duration) {
+        self.late_until = self.late_until.max(now + longest.div_f64(MIN_CLOCK_RATE));
+    }
+
     /// Includes extensions by orders to an earlier incarnation, the last of which was sent at `last`. Such an order can be
     /// executed late, and its deadline is beyond `longest`, the longest lease that the worker takes.
     pub fn include_late_orders(&mut self, last: Timestamp, longest: Duration) {
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::id::{Epoch, JobKey, StepKey, TaskKey, WorkerIncarnation};
+use super::lease::ClockRange;
 use super::record::{Entry, JobState};
 use super::request_queue::RecommendationRequest;
 use super::spec::JobSpec;
@@ -182,8 +183,10 @@
 pub enum OrderError {
     /// The worker is unresponsive; the order may have been executed, or may still be.
     Silent,
-    /// Another incarnation uses the address.
+    /// Another worker uses the address.
     OtherIncarnation,
+    /// The order was executed, but by another incarnation under the worker's id: the clock in the answer is not the worker's.
+    OtherClock,
     /// The worker has seen a higher epoch.
     Fenced,
     /// A run of the task with this number or a higher one has ended on the worker.
@@ -207,6 +210,7 @@
         match self {
             Self::Silent => "Silent",
             Self::OtherIncarnation => "OtherLife",
+            Self::OtherClock => "OtherClock",
             Self::Fenced => "Fenced",
             Self::Old => "Old",
             Self::Late => "Late",
@@ -286,6 +290,8 @@
         spec: Arc<JobSpec>,
         /// Deadline of the lease on the worker's clock, milliseconds.
         deadline: u64,
+        /// What the worker's clock shows.
+        clock: ClockRange,
         /// Checkpoint to resume from; empty when there is none.
         checkpoint: String,
         /// Ticket, if the queue needs one.
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -113,9 +113,10 @@
         let worker = self.workers.get_mut(&incarnation);
         let deadline = worker
             .filter(|w| w.is_usable(now) && !w.is_overloaded())
-            .and_then(|w| w.lease.deadline().map(|d| (w, d)));
+            .and_then(|w| w.lease.deadline().zip(w.lease.clock_range(now)).map(|lease| (w, lease)));
         let is_unwanted = job.state.is_final() || is_capped;
-        let (Some((worker, deadline)), false, false) = (deadline, ticket_missing, is_unwanted) else {
+        let (Some((worker, (deadline, clock))), false, false) = (deadline, ticket_missing, is_unwanted)
+        else {
             log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome=dropped ticket={} capped={is_capped}", !ticket_missing);
             self.subtract_cap_usage(key);
             self.drop_placement(now, task, run, EndProof::NotSent);
@@ -131,6 +132,7 @@
             run,
             spec: job.spec.clone(),
             deadline,
+            clock,
             checkpoint: task_state.checkpoint.clone(),
             ticket,
         });
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -41,6 +41,17 @@
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         worker.fail_extension(error == OrderError::Silent);
         worker.lease_extension = LeaseExtension::Due(now + UNANSWERED_CALL_DELAY);
+        self.note_silence(now, incarnation, error);
+    }
+
+    /// Records that a worker no longer answers.
+    pub(super) fn note_silence(
+        &mut self,
+        now: Timestamp,
+        incarnation: &WorkerIncarnation,
+        error: OrderError,
+    ) {
+        let Some(worker) = self.workers.get_mut(incarnation) else { return };
         if worker.is_responsive {
             worker.is_responsive = false;
             worker.silent_since = Some(now);
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -8,9 +8,9 @@
 use crate::shard::id::{TaskKey, WorkerIncarnation};
 use crate::shard::job::Phase;
 use crate::shard::loss::WorkerFate;
-use crate::shard::message::WorkerEntry;
+use crate::shard::message::{OrderError, WorkerEntry};
 use crate::shard::run_end::EndProof;
-use crate::shard::worker::Worker;
+use crate::shard::worker::{LeaseExtension, Worker};
 use crate::unit::Timestamp;
 
 impl Owner {
@@ -31,6 +31,21 @@
         self.end_incarnation(now, incarnation, fate, EndProof::Replaced, reason);
     }
 
+    /// Handles the start of a run by a later incarnation of its worker, whose report is requested at once.
+    pub(super) fn suspect_restart(
+        &mut self,
+        now: Timestamp,
+        task: TaskKey,
+        run: u32,
+        incarnation: &WorkerIncarnation,
+    ) {
+        let Some(worker) = self.workers.get_mut(incarnation) else { return };
+        worker.answer_start(task, run);
+        worker.lease.include_successor(now, self.options.max_lease);
+        worker.lease_extension = LeaseExtension::Due(now);
+        self.note_silence(now, incarnation, OrderError::OtherClock);
+    }
+
     /// Moves the runs that a worker incarnation never listed to the next one.
     pub(super) fn move_unseen_runs(
         &mut self,
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -63,6 +63,11 @@
                 log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome={error:?}");
                 return;
             }
+            Err(error @ OrderError::OtherClock) => {
+                placement.phase = Phase::Unconfirmed(now);
+                log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome={error:?}");
+                return self.suspect_restart(now, task, run, incarnation);
+            }
             Err(error) => {
                 log::info!(target: "decision", "start task={task} run={run} worker={incarnation} outcome={error:?}");
                 if self.step_down_if_fenced(error) {
--- a/yuccahoist/src/shard/ports.rs
+++ b/yuccahoist/src/shard/ports.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use super::id::{Epoch, StepKey, TaskKey, WorkerIncarnation};
+use super::lease::ClockRange;
 use super::message::{OrderError, Report, Unlisting, WorkerEntry};
 use super::record::{Entry, Ownership};
 use super::spec::JobSpec;
@@ -116,6 +117,8 @@
     pub spec: Arc<JobSpec>,
     /// Deadline of the lease on the worker's clock, milliseconds.
     pub deadline: u64,
+    /// What the worker's clock shows as the order is sent.
+    pub clock: ClockRange,
     /// Checkpoint to resume from; empty when there is none.
     pub checkpoint: String,
     /// Ticket, if the queue needs one.
@@ -158,7 +161,7 @@
     /// Extends the lease of a worker and returns its report.
     async fn extend_lease(&self, epoch: Epoch, order: LeaseOrder) -> Result<Report, OrderError>;
 
-    /// Starts a run; `Ok` once the worker has confirmed it.
+    /// Starts a run; `Ok` once the worker has confirmed it, [`OrderError::OtherClock`] if another incarnation has.
     async fn start(&self, epoch: Epoch, order: StartOrder) -> Result<(), OrderError>;
 
     /// Stops a run; `Ok` once the worker has confirmed the order, while its end is only in a report.
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -267,8 +267,15 @@
 
     /// Records that the worker answered the start order of a run.
     pub fn confirm_start(&mut self, task: TaskKey, run: u32) {
+        self.answer_start(task, run);
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
             reserved.is_started = true;
+        }
+    }
+
+    /// Records that the start order of a run was answered, by this incarnation or a later one.
+    pub fn answer_start(&mut self, task: TaskKey, run: u32) {
+        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
             reserved.is_answered = true;
         }
     }
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -580,6 +580,17 @@
 
     /// Restarts a worker whose later incarnation has not written its registry entry yet.
     pub fn restart_unregistered(&mut self, number: usize) {
+        self.replace_incarnation(number, CALL_ROUND_TRIP_MS / 2);
+    }
+
+    /// Restarts a worker without a sign of it: its later incarnation has not written its registry entry yet, and the call that
+    /// is waiting for an answer times out.
+    pub fn restart_unnoticed(&mut self, number: usize) {
+        self.replace_incarnation(number, 1_000 + ORDER_TIMEOUT_MS);
+    }
+
+    /// Replaces a worker by its next incarnation; the calls that wait for an answer fail after `notice` milliseconds.
+    fn replace_incarnation(&mut self, number: usize, notice: u64) {
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
@@ -591,7 +602,7 @@
             let awaited = previous.pending_reports.into_iter().filter(|p| p.reply != Reply::Unwanted);
             for PendingReport { epoch, called, .. } in awaited {
                 let broken = Event::LeaseAnswered(called, Err(OrderError::Silent));
-                self.deliver_after(CALL_ROUND_TRIP_MS / 2, Delivery::Event(epoch, broken));
+                self.deliver_after(notice, Delivery::Event(epoch, broken));
             }
         }
         self.workers.insert(worker.entry.incarnation.clone(), worker);
@@ -1262,7 +1273,8 @@
                 }
                 worker.extend_lease(now, deadline, max_lease);
                 self.start_run(executing, task, run, &spec);
-                Some(Event::Started(task, run, incarnation, Ok(())))
+                let result = if *executing == incarnation { Ok(()) } else { Err(OrderError::OtherClock) };
+                Some(Event::Started(task, run, incarnation, result))
             }
             _ => None,
         }
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -220,6 +220,31 @@
     assert_eq!(cluster.starts[&JobKey(2)], 4, "tasks that are done start again");
 }
 
+/// The lease of an incarnation freed the runs that the next one had started and answered before its owner knew of it.
+#[test]
+fn run_answered_by_an_unknown_incarnation_outlasts_the_lease_of_the_earlier() {
+    let cut_times = [20, 200, 600, 1_200];
+    let cases = [6_000, 10_000].into_iter().flat_map(|lease| cut_times.map(move |cut| (lease, cut)));
+    play_all(cases.map(|(max_lease, cut_after)| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::with_max_lease(1, 3, max_lease);
+            cluster.advance(5_000);
+            cluster.restart_unnoticed(0);
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            cluster.advance(15 + cut_after);
+            assert!(cluster.running_on(0) > 0, "no task runs on the worker");
+            cluster.disconnect(0, 60_000, false);
+            cluster.advance(SETTLE_MS + MAX_ORDER_DELAY_MS);
+            assert!(cluster.starts[&JobKey(1)] > TASKS, "the runs of the worker did not start elsewhere");
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (
+            format!("longest lease {max_lease} ms, cut after {cut_after} ms"),
+            Box::new(play) as Box<dyn FnOnce()>,
+        )
+    }));
+}
+
 /// The end of a run that had been freed was acknowledged and ignored, so that its task, which was done, ran again.
 #[test]
 fn done_end_of_a_freed_run_completes_its_task() {
