--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -1,8 +1,11 @@
 //! Workers that have started again under their id.
 //!
 //! An order names a worker by its id only, so the next incarnation executes an order that was sent to the earlier one. It
-//! knows no epoch yet, and the deadline of the order is far ahead on its clock, which has started anew. A run that the
-//! earlier incarnation never listed may therefore be active on the next one.
+//! knows no epoch yet, and its clock has another origin, so the deadline of the order may be far ahead on it. A run that the
+//! earlier incarnation never listed may therefore be active on the next one, and its lease may be the longest that it takes.
+//!
+//! An order that was answered is not executed again, and one that was not is executed for a limited time. Both incarnations
+//! are told apart by the start time in a report and by the clock in other answers.
 
 use super::Owner;
 use crate::shard::id::{TaskKey, WorkerIncarnation};
--- a/yuccahoist/src/shard/run_end.rs
+++ b/yuccahoist/src/shard/run_end.rs
@@ -4,7 +4,7 @@
 //! a line of the log and in a metric.
 //!
 //! A proof holds for one incarnation of a worker. A start order that was never answered can still be executed by the next
-//! incarnation under the same id.
+//! incarnation under the same id, unless it has a ticket; its run stays placed until then.
 
 use std::fmt;
 
--- a/yuccahoist/tests/shard/interleavings.rs
+++ b/yuccahoist/tests/shard/interleavings.rs
@@ -556,3 +556,12 @@
 fn restarts_before_cuts_and_takeovers_break_no_rule() {
     play_all(Schedule::draw_restarts);
 }
+
+/// A late order to an earlier incarnation acknowledged an end, or started a run, which the next owner did not know of.
+#[test]
+fn late_orders_to_restarted_workers_are_known_to_the_next_owner() {
+    let schedules = [2_040, 2_675].map(Schedule::draw_restarts);
+    let failures = schedules.iter().filter_map(|s| Some(format!("{}\n  {s}", s.play().err()?)));
+    let failures: Vec<_> = failures.collect();
+    assert!(failures.is_empty(), "{} schedules fail:\n{}", failures.len(), failures.join("\n"));
+}
