Take note of the answer to a start order whose run is being stopped

Callers saw: a gang with two members refused for want of room started after 12.2 s. Cause: the refusal of one member stops the others. An answer to their start orders was then ignored, so these counted as unanswered, and their tasks waited for the time in which such an order is executed. Change: the answer is recorded with the run before the state of its placement is looked at. Why it works: an order that was answered is not executed again. Result: the new test failed with two refused members (1 of 2 cases) and holds.

--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Records that a start order to an incarnation was answered; its run may have been moved to a later one.
+    pub(super) fn answer_start(&mut self, task: TaskKey, run: u32, incarnation: &WorkerIncarnation) {
+        for other in self.incarnations_of(incarnation, |other| other >= incarnation.started_at) {
+            if let Some(worker) = self.workers.get_mut(&other) {
+                worker.answer_start(task, run);
+            }
+        }
+    }
+
     /// Moves a placed run to the next incarnation of its worker, whose reports tell whether it exists.
     fn move_run(
         &mut self,
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -38,6 +38,9 @@
         incarnation: &WorkerIncarnation,
         result: Result<(), OrderError>,
     ) {
+        if !matches!(result, Err(OrderError::Silent | OrderError::Old)) {
+            self.answer_start(task, run, incarnation);
+        }
         let Some(placement) = self.placement(task, run, incarnation).filter(|p| p.phase == Phase::Starting)
         else {
             return;
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -17,6 +17,8 @@
 /// Time by which an order can be executed late, milliseconds.
 const MAX_ORDER_DELAY_MS: u64 = 12_000;
 
+/// Time for which no task of a job may be idle while there is room; defined by the platform, milliseconds.
+const MAX_IDLE_MS: u64 = 3_000;
 /// Tasks that keep three workers busy and leave room for the runs of one of them.
 const TASKS: u32 = 8;
 
@@ -245,6 +247,29 @@
     }));
 }
 
+/// A start order that was refused while its run was being stopped counted as unanswered, and its task waited for it.
+#[test]
+fn refused_members_of_a_gang_delay_it_by_no_late_order() {
+    play_all([1, 2].map(|refused| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(5_000);
+            cluster.max_registry_delay = 600_000;
+            (0..refused).for_each(|number| cluster.resize_worker(number, Resources::new(1_000, 1_000, 0)));
+            let mut job = spec(3, TASK_MS);
+            job.steps[0].gang = true;
+            job.steps[0].max_per_worker = Some(1);
+            cluster.submit(1, job);
+            cluster.advance(100);
+            cluster.max_registry_delay = 0;
+            (0..refused).for_each(|number| cluster.resize_worker(number, WORKER_CAPACITY));
+            cluster.advance(MAX_IDLE_MS);
+            assert_eq!(cluster.workers_of(1), [0, 1, 2], "the gang is not whole");
+        };
+        (format!("{refused} refused"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
 /// The end of a run that had been freed was acknowledged and ignored, so that its task, which was done, ran again.
 #[test]
 fn done_end_of_a_freed_run_completes_its_task() {
