Hold runs that an unknown incarnation may have, and no leases of new workers

Cause: a ticket was taken for one of the incarnation that the owner knows, while one that was received after its last report may be of the next; and every young worker counted as one that had been started again. Evidence: run_of_an_unknown_incarnation_outlasts_the_lease_of_the_earlier and tasks_of_a_new_worker_wait_for_its_lease_only. Change: a run whose start order was sent after the last report and not answered keeps its task for the longest lease, unless its ticket is older than that report. The longest lease is inherited only where an earlier incarnation is known, or the owner has been in office for less than 18 s, the time in which orders of previous owners are executed. Why it works: a worker that has reported had not started again before, and a ticket is for the incarnation of its time. An owner knows the workers that it has called itself. This holds two faults, since they share the code.

--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -208,9 +208,10 @@
     options: OwnerOptions,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<WorkerIncarnation, Worker>,
-    /// Start time of the last incarnation under an id that was removed, and when the last order to it was sent that extends
-    /// its lease and was not answered; a later incarnation may still execute it.
-    unanswered: BTreeMap<Arc<str>, (u64, Timestamp)>,
+    /// Last incarnation under an id that was removed, as long as a later one may execute orders to it.
+    removed: BTreeMap<Arc<str>, restarts::Removed>,
+    /// When this owner took over.
+    restored_at: Timestamp,
     /// Steps with a pending task that may start, in the order of their rank.
     ready: ReadySteps,
     /// Number of jobs by queue that have not begun.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -55,7 +55,7 @@
             self.entitlements.expire(now);
             self.update_workspace_status();
             self.forget_losses();
-            self.unanswered.retain(|_, (_, at)| now < *at + MAX_ORDER_DELAY);
+            self.removed.retain(|_, removed| now < removed.at + MAX_ORDER_DELAY);
             self.expire_capped(now);
             self.refresh_speeds(now);
             self.refresh_neighbours(now);
@@ -114,7 +114,7 @@
                 }
             }
             let Some(worker) = self.workers.get(&incarnation) else { continue };
-            let held = worker.runs.values().filter(|run| run.is_open(now)).count();
+            let held = worker.outlasting_runs(now, self.options.max_lease);
             let lost = worker.runs.len() - held;
             if lost > 0 {
                 let bound = worker.lease.bound();
@@ -149,18 +149,20 @@
         }
         self.confirm_crashes_before(now, &entry);
         self.pass_due = true;
+        let follows = !self.incarnations_of(&incarnation, |other| other < incarnation.started_at).is_empty();
         let inherited = self.inherited_expiry(now);
         let worker = self.workers.entry(incarnation.clone()).or_insert_with(|| {
             log::info!(target: "decision", "worker worker={incarnation} outcome=registered capacity={}", entry.capacity);
             let mut worker = Worker::new(entry.clone(), now, inherited);
-            match self.unanswered.get(&incarnation.id) {
-                Some((started_at, at)) if *started_at < incarnation.started_at => {
-                    worker.inherit_unanswered(*at, self.options.max_lease);
+            match self.removed.get(&incarnation.id) {
+                Some(removed) if removed.started_at < incarnation.started_at => {
+                    worker.succeed(removed.unanswered, self.options.max_lease);
                 }
                 // The deadline of an order to the same incarnation has passed on its clock.
-                Some((_, at)) => worker.unanswered = Some(*at),
+                Some(removed) => worker.unanswered = removed.unanswered,
                 None => {}
             }
+            worker.has_predecessor |= follows;
             worker
         });
         if entry.draining && !worker.entry.draining {
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -109,6 +109,8 @@
         let ticket = step.tickets.recommended.get(&incarnation);
         let ticket_missing =
             job.spec.queue.recommendation.is_some() && ticket.is_none_or(|(_, until)| *until <= now);
+        let validity = job.spec.queue.recommendation.map(|cost| Self::ticket_validity(&cost));
+        let ticketed_at = ticket.zip(validity).map(|((_, until), validity)| *until - validity);
         let ticket = ticket.map(|(ticket, _)| ticket.clone());
         let worker = self.workers.get_mut(&incarnation);
         let deadline = worker
@@ -123,7 +125,7 @@
             return;
         };
         placement.phase = Phase::Starting;
-        worker.order(now, task, run, ticket.is_some());
+        worker.order(now, task, run, ticketed_at);
         self.counters.starts += 1;
         self.actions.push(Action::Start {
             incarnation,
--- a/yuccahoist/src/shard/owner/losses.rs
+++ b/yuccahoist/src/shard/owner/losses.rs
@@ -26,8 +26,7 @@
 }
 
 impl Owner {
-    /// Ends the runs of a lost worker; if its lease has expired, apart from those whose start orders a later incarnation may
-    /// still execute.
+    /// Ends the runs of a lost worker; if its lease has expired, apart from those that a later incarnation may have.
     pub(super) fn lose_runs(
         &mut self,
         now: Timestamp,
@@ -36,7 +35,9 @@
         proof: EndProof,
     ) {
         let Some(worker) = self.workers.get(incarnation) else { return };
-        let is_over = |run: &ReservedRun| proof != EndProof::Lapsed || !run.is_open(now);
+        let (reported, longest) = (worker.last_report, self.options.max_lease);
+        let is_over =
+            |run: &ReservedRun| proof != EndProof::Lapsed || !run.may_outlast(now, reported, longest);
         let runs = worker.runs.iter().filter(|(_, run)| is_over(run));
         let runs: Vec<_> = runs.map(|(key, run)| (*key, run.clone())).collect();
         let beside = worker.runs.len().saturating_sub(1);
--- a/yuccahoist/src/shard/owner/recommendations.rs
+++ b/yuccahoist/src/shard/owner/recommendations.rs
@@ -52,6 +52,11 @@
         now + TICKET_RESERVE / 2 < until
     }
 
+    /// Returns the time from the receipt of a ticket for which it is used.
+    pub(super) fn ticket_validity(cost: &RecommendationCost) -> Duration {
+        cost.validity.saturating_sub(TICKET_RESERVE)
+    }
+
     /// Requests tickets for a step, unless a request is pending or a retry delay has not passed.
     ///
     /// `recommended` are workers that were recommended before and need a new ticket; if there are none, the first of
@@ -226,7 +231,7 @@
         if !recommended.is_empty() {
             tickets.first_since = None;
         }
-        let until = now + cost.validity.saturating_sub(TICKET_RESERVE);
+        let until = now + Self::ticket_validity(&cost);
         for (id, ticket) in recommended {
             if let Some(incarnation) = requested.iter().find(|i| i.id == id) {
                 tickets.recommended.insert(incarnation.clone(), (ticket, until));
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -66,7 +66,8 @@
             options,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
-            unanswered: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            restored_at: now,
             ready: ReadySteps::default(),
             queued_jobs: BTreeMap::new(),
             batch: Batch::default(),
@@ -177,7 +178,6 @@
                         worker.unlisted_since = Some(now);
                         let (run, workspace) = (placement.run, workspace.clone());
                         worker.reserve(task_key, run, resources, counted, workspace, Some(now));
-                        worker.order(now, task_key, run, spec.queue.recommendation.is_some());
                         job.active_runs += 1;
                     }
                     if stored.done {
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -6,6 +6,7 @@
 use super::{Effect, Owner};
 use crate::shard::id::{TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
+use crate::shard::lease::MAX_EARLIER_ORDER_AGE;
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{ActiveRun, OrderError, Report};
 use crate::shard::run_end::EndProof;
@@ -182,7 +183,10 @@
         if !worker.has_reported {
             worker.has_reported = true;
             let age = Duration::from_millis(wall.saturating_sub(incarnation.started_at));
-            worker.lease.fence_inherited(now, age, self.options.lease, self.options.max_lease);
+            // Orders of previous owners are too old by then.
+            let is_alone = !worker.has_predecessor && now > self.restored_at + MAX_EARLIER_ORDER_AGE;
+            let longest = if is_alone { self.options.lease } else { self.options.max_lease };
+            worker.lease.fence_inherited(now, age, self.options.lease, longest);
             self.pass_due = true;
             log::info!(
                 target: "decision",
@@ -292,14 +296,14 @@
         if !speculative || done {
             log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not placed on this worker\"");
             if !done {
-                self.adopt_run(now, incarnation, task, run);
+                self.block_task(now, incarnation, task, run);
             }
             self.send_stop(task, run, incarnation);
         }
     }
 
-    /// Places a run that is being stopped, unless its task has another run.
-    fn adopt_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
+    /// Places a run that is being stopped, so that its task starts no other one, unless the task has another run.
+    fn block_task(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
         let key = task.step;
         if self.has_unsent_run(task) {
             self.stop_task(now, task);
@@ -368,19 +372,19 @@
             let phase = placement.phase;
             let reserved = self.workers.get(incarnation).and_then(|w| w.runs.get(&(task, run)));
             let is_started = reserved.is_none_or(|r| r.is_started);
-            let is_open = reserved.is_some_and(|r| r.is_open(now));
+            let may_begin = reserved.is_some_and(|r| r.may_begin_later(now));
             // The worker may not list a run that it is stopping.
             let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
-            awaits_report |= !is_open && matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
+            awaits_report |= !may_begin && matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
             match phase {
                 Phase::Storing | Phase::Starting | Phase::Stopping(None) => {}
                 // Once stopped, the run can't begin on this incarnation any more.
                 Phase::Unconfirmed(at) | Phase::Running(at) if at <= sent => self.stop_task(now, task),
-                Phase::Stopping(Some(at)) if at + stop_time < sent && !is_open => {
+                Phase::Stopping(Some(at)) if at + stop_time < sent && !may_begin => {
                     self.drop_placement(now, task, run, EndProof::Stopped);
                 }
-                Phase::Inherited if !is_open => self.drop_placement(now, task, run, EndProof::Fenced),
-                Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) | Phase::Inherited => {}
+                Phase::Inherited => self.drop_placement(now, task, run, EndProof::Fenced),
+                Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
             }
         }
         if let Some(worker) = self.workers.get_mut(incarnation) {
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -16,6 +16,17 @@
 use crate::shard::worker::{LeaseExtension, Worker};
 use crate::unit::Timestamp;
 
+/// Incarnation of a worker that was removed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Removed {
+    /// Start time of the incarnation, milliseconds since the Unix epoch.
+    pub started_at: u64,
+    /// When it was removed.
+    pub at: Timestamp,
+    /// When the last order to it was sent that extends its lease and was not answered.
+    pub unanswered: Option<Timestamp>,
+}
+
 impl Owner {
     /// Removes a worker incarnation in place of which another one answered, `next` if that has the same id; unless it was
     /// draining, it has crashed.
@@ -73,7 +84,7 @@
         next: &WorkerIncarnation,
     ) {
         let Some(earlier) = self.workers.get(incarnation) else { return };
-        let last = earlier.last_unanswered();
+        let (is_called, last) = (earlier.is_called(), earlier.last_unanswered());
         let inherited = self.inherited_expiry(now);
         let entry = WorkerEntry {
             incarnation: next.clone(),
@@ -84,28 +95,32 @@
         self.workers
             .entry(next.clone())
             .or_insert_with(|| Worker { unlisted_since: Some(now), ..Worker::new(entry, now, inherited) });
-        if let Some(last) = last {
+        if is_called {
             self.pass_on_orders(now, incarnation, last);
         }
     }
 
-    /// Passes on to the later incarnations of a worker the orders to an earlier one, the last of which was sent at `last`.
+    /// Passes on to the later incarnations of a worker the orders to an earlier one; `last` is when the last one was sent that
+    /// is not answered.
     pub(super) fn pass_on_orders(
         &mut self,
         now: Timestamp,
         incarnation: &WorkerIncarnation,
-        last: Timestamp,
+        last: Option<Timestamp>,
     ) {
         for next in self.incarnations_of(incarnation, |other| other > incarnation.started_at) {
             let Some(worker) = self.workers.get_mut(&next) else { continue };
-            worker.inherit_unanswered(last, self.options.max_lease);
-            let lease = worker.lease.expiry().since(now).as_millis();
-            log::info!(
-                target: "decision",
-                "worker worker={next} outcome=succeeds earlier={incarnation} unanswered_ms={} lease_ms={lease} bound={}",
-                now.since(last).as_millis(),
-                worker.lease.bound()
-            );
+            let is_known = worker.has_predecessor && worker.unanswered >= last;
+            worker.succeed(last, self.options.max_lease);
+            if !is_known {
+                let lease = worker.lease.expiry().since(now).as_millis();
+                log::info!(
+                    target: "decision",
+                    "worker worker={next} outcome=succeeds earlier={incarnation} unanswered_ms={:?} lease_ms={lease} bound={}",
+                    last.map(|at| now.since(at).as_millis()),
+                    worker.lease.bound()
+                );
+            }
         }
     }
 
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::restarts::Removed;
 use super::{Effect, Owner};
 use crate::shard::id::{JobKey, StepKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
@@ -415,8 +416,10 @@
         if fate == WorkerFate::Crashed {
             self.counters.crashed_workers += 1;
         }
-        if let Some(last) = worker.last_unanswered() {
-            self.unanswered.insert(incarnation.id.clone(), (incarnation.started_at, last));
+        if worker.is_called() {
+            let last = worker.last_unanswered();
+            let removed = Removed { started_at: incarnation.started_at, at: now, unanswered: last };
+            self.removed.insert(incarnation.id.clone(), removed);
             self.pass_on_orders(now, incarnation, last);
         }
         self.lose_runs(now, incarnation, fate, proof);
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -6,7 +6,7 @@
 
 use super::health::Health;
 use super::id::{JobKey, StepKey, TaskKey};
-use super::lease::{Lease, MAX_ORDER_DELAY};
+use super::lease::{Lease, MAX_ORDER_DELAY, MAX_TIMER_DELAY, MIN_CLOCK_RATE};
 use super::loss::START_AGE;
 use super::message::WorkerEntry;
 use super::pacing::Pace;
@@ -29,8 +29,8 @@
     pub is_answered: bool,
     /// When the start order timed out.
     pub timed_out: Option<Timestamp>,
-    /// Whether the start order has a ticket, which no incarnation that starts later accepts.
-    pub has_ticket: bool,
+    /// When the ticket in the start order was received; an incarnation that starts later does not accept it.
+    pub ticketed_at: Option<Timestamp>,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
     /// Resources that count against the cap of the workspace: the full request, also of a filler.
@@ -65,15 +65,32 @@
         self.ordered_at.is_some() && !self.is_inherited && self.age_at(silent_since) < START_AGE
     }
 
-    /// Whether an incarnation that starts later may still execute the start order.
+    /// Returns when the start order was sent, if this owner sent it and it was neither answered nor listed in a report.
     ///
-    /// An order of a previous owner counts as executed: how long ago it was sent is unknown, and its tasks should not wait after
-    /// each change of owner.
-    #[must_use]
-    pub fn is_open(&self, now: Timestamp) -> bool {
+    /// An order of a previous owner counts as executed: its tasks would else wait after each change of owner, see
+    /// `order_of_a_previous_owner_that_outlives_a_first_report_is_not_doubled`.
+    fn unanswered_since(&self) -> Option<Timestamp> {
         let is_executed = self.is_answered || self.listed_at.is_some() || self.is_inherited;
-        let sent = self.timed_out.or(self.ordered_at).filter(|_| !is_executed && !self.has_ticket);
-        sent.is_some_and(|at| now < at + MAX_ORDER_DELAY)
+        self.ordered_at.filter(|_| !is_executed)
+    }
+
+    /// Whether an incarnation that starts later may still execute the start order.
+    #[must_use]
+    pub fn may_begin_later(&self, now: Timestamp) -> bool {
+        let sent = self.unanswered_since().filter(|_| self.ticketed_at.is_none());
+        sent.is_some_and(|at| now < self.timed_out.unwrap_or(at) + MAX_ORDER_DELAY)
+    }
+
+    /// Whether a later incarnation that the owner does not know of may have the run, although the lease of this one has expired.
+    /// Leases last `longest` at most, and the call that the last report answers was sent at `reported`.
+    #[must_use]
+    pub fn may_outlast(&self, now: Timestamp, reported: Timestamp, longest: Duration) -> bool {
+        // The worker had not restarted when it reported, nor when a ticket was received before that.
+        let is_later = |at: Timestamp| at > reported;
+        let sent =
+            self.unanswered_since().filter(|at| is_later(*at) && self.ticketed_at.is_none_or(is_later));
+        let lease = longest.div_f64(MIN_CLOCK_RATE) + MAX_TIMER_DELAY;
+        self.may_begin_later(now) || sent.is_some_and(|at| now < at + MAX_START_TIME + lease)
     }
 
     /// Whether the run may still crash its worker, as earlier runs of its task may have done.
@@ -135,6 +152,8 @@
     pub pending_extension: Option<Timestamp>,
     /// When the last order that extends the lease was sent to this or an earlier incarnation and was not answered.
     pub unanswered: Option<Timestamp>,
+    /// Whether this owner knows of an earlier incarnation.
+    pub has_predecessor: bool,
     /// Whether a report is awaited to tell whether a run exists.
     pub awaits_report: bool,
     /// Runs that may be active on the worker, by task and run number.
@@ -180,6 +199,7 @@
             lease_extension: LeaseExtension::Due(now),
             pending_extension: None,
             unanswered: None,
+            has_predecessor: false,
             awaits_report: false,
             runs: BTreeMap::new(),
             probations: 0,
@@ -211,7 +231,7 @@
             is_started: false,
             is_answered: false,
             timed_out: None,
-            has_ticket: false,
+            ticketed_at: None,
             listed_at: None,
             counted,
             workspace,
@@ -280,11 +300,11 @@
         }
     }
 
-    /// Records that the start order of a run is sent, with a ticket or without.
-    pub fn order(&mut self, now: Timestamp, task: TaskKey, run: u32, has_ticket: bool) {
+    /// Records that the start order of a run is sent, with a ticket received at `ticketed_at` or without.
+    pub fn order(&mut self, now: Timestamp, task: TaskKey, run: u32, ticketed_at: Option<Timestamp>) {
         if let Some(reserved) = self.runs.get_mut(&(task, run)) {
             reserved.ordered_at.get_or_insert(now);
-            reserved.has_ticket = has_ticket;
+            reserved.ticketed_at = ticketed_at;
         }
     }
 
@@ -305,16 +325,24 @@
     /// Returns when the last order was sent that extends the lease and is not answered.
     #[must_use]
     pub fn last_unanswered(&self) -> Option<Timestamp> {
-        let pending = self.runs.values().filter(|run| !run.is_answered && !run.is_inherited);
-        let pending = pending.filter(|run| run.listed_at.is_none()).filter_map(|run| run.ordered_at).max();
+        let pending = self.runs.values().filter_map(ReservedRun::unanswered_since).max();
         self.unanswered.max(self.pending_extension).max(pending)
     }
 
-    /// Records an order to an earlier incarnation that was sent at `last` and not answered, so that this one may execute it;
-    /// its lease then lasts up to `longest`.
-    pub fn inherit_unanswered(&mut self, last: Timestamp, longest: Duration) {
-        self.unanswered = self.unanswered.max(Some(last));
-        self.lease.include_late_orders(last, longest);
+    /// Records that this owner sent orders to an earlier incarnation, which this one may execute; `last` is when the last one
+    /// was sent that is not answered. The lease then lasts up to `longest`.
+    pub fn succeed(&mut self, last: Option<Timestamp>, longest: Duration) {
+        self.has_predecessor = true;
+        self.unanswered = self.unanswered.max(last);
+        if let Some(last) = last {
+            self.lease.include_late_orders(last, longest);
+        }
+    }
+
+    /// Returns the number of runs that a later incarnation may have, although the lease of this one has expired.
+    #[must_use]
+    pub fn outlasting_runs(&self, now: Timestamp, longest: Duration) -> usize {
+        self.runs.values().filter(|run| run.may_outlast(now, self.last_report, longest)).count()
     }
 
     /// Releases the resources of a run, and returns what was reserved.
@@ -363,6 +391,12 @@
         }
     }
 
+    /// Whether this owner has called the worker.
+    #[must_use]
+    pub const fn is_called(&self) -> bool {
+        !self.called_address.is_empty()
+    }
+
     /// Returns the number of ended runs that the next call acknowledges; 0 for none.
     ///
     /// The next incarnation under the worker's id counts its ends from 1 again and would drop those that nobody has read. A
@@ -443,6 +477,8 @@
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_200);
 /// Time in which a new worker reports, unless its entry names no worker; a call and its repeat.
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time from a start order to the start of the run, unless it is executed late; the timeout of the call.
+const MAX_START_TIME: Duration = Duration::from_millis(600);
 /// Shortest lease of a draining worker; covers a call that is not answered.
 pub const DRAINING_LEASE: Duration = Duration::from_millis(1_500);
 /// Least remaining lease for a new run: one write to a slow store and one call to the worker must fit into it.
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -228,6 +228,32 @@
     assert_eq!(lease.extend(at(150), ms(1_000)), Some(54_100), "a later extension shortened the lease");
 }
 
+/// The inherited lease of a young worker was counted as what its predecessor would have granted.
+#[test]
+fn inherited_lease_covers_orders_to_an_earlier_incarnation() {
+    struct Case {
+        name: &'static str,
+        /// Time since the start of the worker, milliseconds.
+        age: u64,
+        /// Bounds of the rest of its lease, milliseconds.
+        rest: std::ops::Range<u64>,
+    }
+    // An order to an earlier incarnation is executed up to 18 s after the start; times of day differ by 5 s at most.
+    let cases = [
+        Case { name: "just started", age: 0, rest: 10_204..10_500 },
+        Case { name: "an order may just have been executed", age: 23_000, rest: 10_204..10_500 },
+        Case { name: "the last order was executed 3 s ago", age: 26_000, rest: 7_204..7_500 },
+        Case { name: "its lease by such an order has expired", age: 60_000, rest: 4_081..4_500 },
+    ];
+    for case in cases {
+        let mut lease = Lease::new(at(30_000));
+        lease.observe(at(1_000), 50_000);
+        lease.fence_inherited(at(1_000), ms(case.age), ms(4_000), ms(10_000));
+        let rest = lease.expiry().since(at(1_000)).as_millis() as u64;
+        assert!(case.rest.contains(&rest), "{}: {rest} ms", case.name);
+    }
+}
+
 /// A worker that fails every run must be isolated, but a job that fails on every worker must not isolate any.
 #[test]
 fn isolation_needs_consecutive_failures_of_two_jobs() {
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -1,12 +1,14 @@
 //! When the runs of a worker count as over, so that their tasks may start elsewhere. The cluster fails a test in which two
 //! runs of a task overlap.
 
+use std::collections::BTreeSet;
+
 use yuccahoist::shard::message::WorkerEntry;
 use yuccahoist::shard::record::JobState;
 use yuccahoist::shard::{Event, JobKey};
 use yuccahoist::unit::Resources;
 
-use super::cluster::{SimulatedCluster, WORKER_CAPACITY, spec};
+use super::cluster::{DeadlyTasks, SimulatedCluster, WORKER_CAPACITY, spec};
 
 /// Duration of the tasks, milliseconds; longer than a lease.
 const TASK_MS: u64 = 20_000;
@@ -244,3 +246,25 @@
         assert_eq!(cluster.starts[&JobKey(1)], 4, "cut for {millis} ms: tasks did not restart");
     }
 }
+
+/// The tasks of a new worker waited for orders to an earlier incarnation, although its id was new.
+#[test]
+fn tasks_of_a_new_worker_wait_for_its_lease_only() {
+    for age in [200, 5_000, 12_000, 30_000] {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(60_000);
+        let deadly = DeadlyTasks { tasks: BTreeSet::new(), crash_after: 0, down: 0, new_id: true };
+        cluster.deadly = Some(deadly);
+        cluster.crash_worker(0, 300);
+        cluster.advance(400 + age);
+        let is_new = |number: &usize| &*cluster.entry_of(*number).incarnation.id == "w100";
+        let number = (0..3).find(is_new).expect("the worker is back under another id");
+        cluster.submit(1, spec(8, TASK_MS));
+        cluster.advance(1_500);
+        let runs = cluster.running_on(number);
+        assert!(runs > 0, "age {age} ms: no task runs on the worker");
+        cluster.crash_worker(number, 600_000);
+        cluster.advance(RESTART_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "age {age} ms: tasks did not restart");
+    }
+}
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -2,6 +2,7 @@
 //! which two runs of a task overlap, or in which a task starts again after an end that is taken note of.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
 
 use yuccahoist::shard::message::{OrderError, Report, Request};
 use yuccahoist::shard::record::JobState;
@@ -247,6 +248,53 @@
     }));
 }
 
+/// The same with a ticket or without, with an answer that is lost, and with an entry of the next one that is read late or never.
+#[test]
+fn run_of_an_unknown_incarnation_outlasts_the_lease_of_the_earlier() {
+    #[derive(Debug, Clone, Copy)]
+    struct Case {
+        has_tickets: bool,
+        is_answered: bool,
+        /// Time from the submission to the cut, milliseconds.
+        cut_after: u64,
+        /// Time from the cut to the registry entry, milliseconds.
+        registered_after: Option<u64>,
+    }
+    let cases = [false, true].into_iter().flat_map(|has_tickets| {
+        [false, true].into_iter().flat_map(move |is_answered| {
+            [100, 300].into_iter().flat_map(move |cut_after| {
+                let times = [None, Some(1_000), Some(6_000)];
+                times.map(|registered_after| Case { has_tickets, is_answered, cut_after, registered_after })
+            })
+        })
+    });
+    play_all(cases.map(|case| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(5_000);
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(5_000));
+            cluster.advance_until_called(0);
+            cluster.restart_unregistered(0);
+            if !case.is_answered {
+                (0..4).for_each(|_| cluster.fault_next_call(0, CallKind::Start, CallFault::AnswerLost));
+            }
+            let job = spec(TASKS, TASK_MS);
+            let job = if case.has_tickets { SimulatedCluster::with_recommendation(job) } else { job };
+            cluster.submit(1, job);
+            cluster.advance(case.cut_after);
+            assert!(cluster.running_on(0) > 0, "no task runs on the worker");
+            cluster.disconnect(0, 60_000, false);
+            if let Some(after) = case.registered_after {
+                cluster.advance(after);
+                cluster.register(0);
+            }
+            cluster.advance(SETTLE_MS + MAX_ORDER_DELAY_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (format!("{case:?}"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
 /// A start order that was refused while its run was being stopped counted as unanswered, and its task waited for it.
 #[test]
 fn refused_members_of_a_gang_delay_it_by_no_late_order() {
@@ -270,6 +318,62 @@
     }));
 }
 
+/// A start order without a ticket is executed late by an incarnation that its owner never reaches.
+#[test]
+fn late_start_on_an_unreachable_incarnation_is_not_doubled() {
+    let cases =
+        [3_000, 5_000, 8_000, 11_000].into_iter().flat_map(|late| [false, true].map(|way| (late, way)));
+    play_all(cases.map(|(late, one_way)| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.advance(100);
+            cluster.resize_worker(1, Resources::new(1_000, 1_000, 0));
+            cluster.advance(200);
+            cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(late));
+            cluster.submit(1, spec(1, TASK_MS));
+            let worker = cluster.advance_until_ordered(1);
+            cluster.resize_worker(1, WORKER_CAPACITY);
+            cluster.max_registry_delay = 600_000;
+            cluster.crash_worker(worker, late - 15);
+            cluster.advance(late - 10);
+            let deadline = cluster.now + Duration::from_millis(20);
+            while cluster.running_on(worker) == 0 && cluster.now < deadline {
+                cluster.advance(5);
+            }
+            assert!(cluster.running_on(worker) > 0, "the late order was not executed");
+            cluster.disconnect(worker, 60_000, one_way);
+            cluster.advance(SETTLE_MS + MAX_ORDER_DELAY_MS);
+        };
+        (format!("late {late}, one way {one_way}"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
+/// An extension by the previous owner is executed after the takeover by an incarnation that the new owner does not reach.
+#[test]
+fn late_extension_before_a_first_report_does_not_double_a_run() {
+    let times = [3_000, 4_000, 4_500, 5_000, 5_500];
+    let cases = times.into_iter().flat_map(|late| [600, 1_000, 2_000].map(|gap| (late, gap)));
+    play_all(cases.map(|(late, gap)| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(5_000);
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+            cluster.advance_until_called(0);
+            cluster.restart_worker(0);
+            cluster.advance(100);
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            cluster.advance(gap - 100);
+            assert!(cluster.running_on(0) > 0, "no task runs on the worker");
+            cluster.disconnect(0, late - gap - 10, false);
+            cluster.take_over(true);
+            cluster.advance(late - gap + 5);
+            cluster.disconnect(0, 60_000, false);
+            cluster.advance(SETTLE_MS + MAX_ORDER_DELAY_MS);
+        };
+        (format!("late {late}, takeover after {gap}"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
 /// The end of a run that had been freed was acknowledged and ignored, so that its task, which was done, ran again.
 #[test]
 fn done_end_of_a_freed_run_completes_its_task() {
