Keep the extension in flight when a start tells of the next incarnation

Callers saw: nothing yet; shown in the simulated cluster only. Cause: the answer to a start with another clock has a report requested at once, in a second call. The lease extension that was in flight was then forgotten, so the next incarnation could execute it late without the owner counting it. Evidence: extension_in_flight_counts_once_a_start_tells_of_the_next_incarnation; found by reading the change. Change: the call in flight counts as unanswered. Why it works: an order that may still be executed is passed on to the next incarnation.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -190,8 +190,8 @@
     /// Limits the inherited lease: the worker reported at `now` under this owner's epoch, which fences previous owners from then
     /// on. `age` is the time since its start by the host's time of day.
     ///
-    /// A previous owner extended the lease by `duration`. An order to an earlier incarnation has extended it by `longest`, the
-    /// longest lease that the worker takes: the clock of that incarnation had run for longer, so the deadline is far ahead.
+    /// A previous owner extended the lease by `duration`. An order to an earlier incarnation may have extended it by
+    /// `longest`, the longest lease that the worker takes, since its deadline is on another clock.
     pub fn fence_inherited(&mut self, now: Timestamp, age: Duration, duration: Duration, longest: Duration) {
         let granted = self.inherited_until.min(now + max_grant(duration));
         let since_order = age.saturating_sub(MAX_EARLIER_ORDER_AGE + MAX_CLOCK_OFFSET);
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -55,6 +55,8 @@
     ) {
         let Some(worker) = self.workers.get_mut(incarnation) else { return };
         worker.answer_start(task, run);
+        // The call in flight is not awaited.
+        worker.fail_extension(true);
         worker.lease.include_successor(now, self.options.max_lease);
         worker.lease_extension = LeaseExtension::Due(now);
         self.note_silence(now, incarnation, OrderError::OtherClock);
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -248,6 +248,27 @@
     }));
 }
 
+/// The lease extension in flight was forgotten when the answer to a start told of the next incarnation.
+#[test]
+fn extension_in_flight_counts_once_a_start_tells_of_the_next_incarnation() {
+    play_all([2_000, 5_000, 8_000].map(|late| {
+        let play = move || {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(5_000);
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+            cluster.advance_until_called(0);
+            cluster.restart_unregistered(0);
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            cluster.advance(1_000);
+            assert!(cluster.running_on(0) > 0, "no task runs on the worker");
+            cluster.disconnect(0, 60_000, true);
+            cluster.advance(SETTLE_MS + MAX_ORDER_DELAY_MS);
+            assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
+        };
+        (format!("executed after {late} ms"), Box::new(play) as Box<dyn FnOnce()>)
+    }));
+}
+
 /// The same with a ticket or without, with an answer that is lost, and with an entry of the next one that is read late or never.
 #[test]
 fn run_of_an_unknown_incarnation_outlasts_the_lease_of_the_earlier() {
