Log the clocks in the age of a worker, and steps of the time of day

A step of the time of day of the owner's host left no trace.

`outcome=reported` now has the signed age, the reading of the worker's own clock, whether an earlier incarnation is known and the age of the last unanswered order. A step of a second or more between two events is logged once, as `clock outcome=stepped step_ms=`. The age that decisions use is unchanged.

--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -22,6 +22,7 @@
 mod runs;
 mod schedule;
 mod shares;
+mod time_of_day;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -213,6 +214,8 @@
     removed: BTreeMap<Arc<str>, restarts::Removed>,
     /// When this owner took over.
     restored_at: Timestamp,
+    /// Difference of the time of day and the monotonic clock, milliseconds.
+    wall_offset: i128,
     /// Steps with a pending task that may start, in the order of their rank.
     ready: ReadySteps,
     /// Number of jobs by queue that have not begun.
@@ -300,6 +303,7 @@
 
     /// Handles an event and appends the resulting actions to `actions`; `wall` is in milliseconds since the Unix epoch.
     pub fn handle(&mut self, now: Timestamp, wall: u64, event: Event, actions: &mut Vec<Action>) {
+        self.note_time_of_day(now, wall);
         match event {
             Event::Call(call, request) => self.on_call(now, wall, call, request),
             Event::Worker(entry) => self.on_worker(now, entry),
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -68,6 +68,7 @@
             workers: BTreeMap::new(),
             removed: BTreeMap::new(),
             restored_at: now,
+            wall_offset: i128::from(wall) - i128::from(now.as_micros() / 1_000),
             ready: ReadySteps::default(),
             queued_jobs: BTreeMap::new(),
             batch: Batch::default(),
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::freed::Age;
 use super::{Effect, Owner};
 use crate::shard::id::{TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
@@ -190,8 +191,12 @@
             self.pass_due = true;
             log::info!(
                 target: "decision",
-                "worker worker={incarnation} outcome=reported age_ms={} active={} ended={} lease_ms={} bound={}",
-                age.as_millis(),
+                "worker worker={incarnation} outcome=reported age_ms={} clock_ms={} predecessor={} unanswered_ms={} \
+                 active={} ended={} lease_ms={} bound={}",
+                Self::signed_age(wall, incarnation.started_at),
+                report.clock,
+                worker.has_predecessor,
+                Age::since(now, worker.unanswered),
                 report.active.len(),
                 report.ended.len(),
                 worker.lease.expiry().since(now).as_millis(),
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -345,6 +345,8 @@
     /// Number of started runs by job.
     pub starts: BTreeMap<JobKey, u32>,
     pub store_up: bool,
+    /// Step of the time of day of the owner's host, milliseconds.
+    pub wall_step: i64,
     /// Until when the owner computes nothing, and the events that wait for it.
     frozen_until: Timestamp,
     waiting_events: Vec<Event>,
@@ -410,6 +412,7 @@
             visible_states: BTreeMap::new(),
             starts: BTreeMap::new(),
             store_up: true,
+            wall_step: 0,
             frozen_until: Timestamp::ZERO,
             waiting_events: Vec::new(),
             call_faults: Vec::new(),
@@ -447,7 +450,7 @@
     }
 
     fn wall(&self) -> u64 {
-        1_790_000_000_000 + self.now.as_micros() / 1_000
+        (1_790_000_000_000 + self.now.as_micros() / 1_000).saturating_add_signed(self.wall_step)
     }
 
     /// Replaces the owner by a new one; a write in flight takes effect only if `write_lands`.
--- a/yuccahoist/tests/shard/freed.rs
+++ b/yuccahoist/tests/shard/freed.rs
@@ -127,3 +127,34 @@
         }
     }
 }
+
+/// A worker whose clock is ahead of the host's was shown as started just now, since a negative age was printed as zero.
+#[test]
+fn first_report_shows_a_negative_age_and_the_clock_of_the_worker() {
+    collect_lines();
+    let mut cluster = SimulatedCluster::new(1, 1);
+    cluster.advance(500);
+    cluster.wall_step = 7_000;
+    cluster.restart_worker(0);
+    cluster.wall_step = 0;
+    cluster.advance(500);
+    let incarnation = cluster.entry_of(0).incarnation.to_string();
+    let reported = ["outcome=reported", &incarnation];
+    assert!((-7_000..-6_000).contains(&number(&reported, "age_ms")), "{:?}", lines_with(&reported));
+    assert!(number(&reported, "clock_ms") > 0, "{:?}", lines_with(&reported));
+    assert_eq!(field(&reported, "predecessor"), "true");
+    field(&reported, "unanswered_ms");
+}
+
+/// The age of a worker was misjudged after a step of the host's time of day, which left no trace in the log.
+#[test]
+fn step_of_the_time_of_day_is_logged_once() {
+    for step in [-8_000, 8_000] {
+        collect_lines();
+        let mut cluster = SimulatedCluster::new(1, 1);
+        cluster.advance(500);
+        cluster.wall_step = step;
+        cluster.advance(500);
+        assert_eq!(number(&["WARN clock ", "outcome=stepped"], "step_ms"), step);
+    }
+}
