Raise an alarm when a run is active after it was freed

A run that a worker still lists after its owner has freed it shows that a proof was wrong, whether or not a second run was beside it. The owner stopped such a run without a warning, and the line of a late end named neither the proof on which the run had been freed nor the time since.

A report in answer to a call sent later that lists one, an end that contradicts its proof, or an active run that is neither placed nor freed by this owner gives one warning, `overlap`, and counts in `runs_active_after_free` by proof (`none`: freed by a previous owner). Runs that may overlap are left out. A report names no time of an end, so another end than a lapse of a run that was freed on the lease may be in time; it counts in `runs_ended_after_free`, and its line has the proof, the bound, the time since and the run that has followed. No decision changes.

The simulated cluster now fails if the alarm is raised, unless a test expects it. `task_is_not_started_while_a_report_lists_an_unplaced_run_of_it` does: its run is executed after it was freed, before the task has started again. The test now also demands the alarm.

--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -176,6 +176,13 @@
     pub lost: u64,
     /// Runs that ended, by the proof of their end.
     pub ended_runs: EndCounts,
+    /// Runs that were active after they had been freed, by the proof on which they were.
+    pub active_after_free: EndCounts,
+    /// Runs that were active without a place, which a previous owner had freed.
+    pub active_unplaced: u64,
+    /// Runs that ended otherwise than by their lease and whose end was reported after they had been freed on it: they ended
+    /// before, or were active after.
+    pub ended_after_free: u64,
     /// Leases that expired with runs on their workers, by the orders that decided their end.
     pub expired_leases: ExpiryCounts,
     /// Workers of which a later incarnation showed that they had crashed.
@@ -212,6 +219,8 @@
     workers: BTreeMap<WorkerIncarnation, Worker>,
     /// Last incarnation under an id that was removed, as long as a later one may execute orders to it.
     removed: BTreeMap<Arc<str>, restarts::Removed>,
+    /// Runs that were freed lately.
+    freed: freed::FreedRuns,
     /// When this owner took over.
     restored_at: Timestamp,
     /// Difference of the time of day and the monotonic clock, milliseconds.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -55,6 +55,7 @@
             self.entitlements.expire(now);
             self.update_workspace_status();
             self.forget_losses();
+            self.freed.expire(now);
             self.removed.retain(|_, removed| now < removed.at + MAX_ORDER_DELAY);
             self.expire_capped(now);
             self.refresh_speeds(now);
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -67,6 +67,7 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             removed: BTreeMap::new(),
+            freed: super::freed::FreedRuns::default(),
             restored_at: now,
             wall_offset: i128::from(wall) - i128::from(now.as_micros() / 1_000),
             ready: ReadySteps::default(),
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -216,6 +216,7 @@
         for end in &report.ended {
             if end.number > previous {
                 self.counters.ended_runs.add(EndProof::Reported);
+                self.check_end(now, incarnation, end);
                 self.on_end(now, incarnation, end.task, end.run, end.kind, &end.checkpoint);
             }
         }
@@ -227,6 +228,7 @@
         let mut listed = BTreeSet::new();
         for active in &report.active {
             listed.insert((active.task, active.run));
+            self.check_active(now, incarnation, active.task, active.run, sent);
             self.on_active_run(now, incarnation, active);
             if let Some(worker) = self.workers.get_mut(incarnation) {
                 worker.list(now, active.task, active.run);
@@ -286,6 +288,7 @@
     /// Handles a run that the records do not place on this worker. It counts against the capacity until it is gone, and is
     /// stopped unless runs of its task may overlap and the task is not done. Until then its task starts no other run.
     fn on_unplaced_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
+        self.check_unplaced(now, incarnation, task, run);
         let job = self.jobs.get(&task.step.job);
         let step_spec = job.and_then(|j| j.spec.steps.get(task.step.step as usize));
         let known = step_spec.map(|s| (s.reserved(), s.resources, s.speculative));
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -251,6 +251,10 @@
         self.pass_due = true;
         self.stop_retries.remove(&(task, run));
         self.end_displaced(task, run);
+        let freed = match self.placement(task, run, incarnation) {
+            Some(_) => String::new(),
+            None => format!(" {}", self.free_fields(now, task, run)),
+        };
         let key = task.step;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let spec = job.spec.clone();
@@ -279,13 +283,14 @@
         let completes =
             kind == EndKind::Done && !step_spec.long_running && !task_state.done && run <= task_state.run;
         if !is_current && !completes {
-            log::info!(target: "decision", "end task={task} run={run} worker={incarnation} kind={kind:?} outcome=stale");
+            log::info!(target: "decision", "end task={task} run={run} worker={incarnation} kind={kind:?} outcome=stale{freed}");
             if exhausted {
                 self.finish_job(now, key.job, JobState::Failed);
             }
             return;
         }
-        log::info!(target: "decision", "end task={task} run={run} worker={incarnation} kind={kind:?}");
+        let late = if is_current { "" } else { " outcome=late" };
+        log::info!(target: "decision", "end task={task} run={run} worker={incarnation} kind={kind:?}{late}{freed}");
         if !checkpoint.is_empty() {
             task_state.checkpoint = checkpoint.to_owned();
         }
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -14,6 +14,7 @@
 use yuccahoist::shard::owner::{Counters, StoredRecords};
 use yuccahoist::shard::record::{Entry, JobState, Ownership, Record};
 use yuccahoist::shard::request_queue::{RecommendationRequest, RequestHost, RequestKind, RequestQueue};
+use yuccahoist::shard::run_end::EndProof;
 use yuccahoist::shard::spec::{JobSpec, Queue, RecommendationCost, StepSpec};
 use yuccahoist::shard::workspace::{Workspace, WorkspaceName, WorkspaceTable, WorkspaceTerms};
 use yuccahoist::shard::{Epoch, JobKey, Owner, OwnerOptions, StepKey, TaskKey, WorkerIncarnation};
@@ -322,6 +323,11 @@
     Recommendation(Epoch, RequestHost, u64),
 }
 
+fn alarms(counters: Counters) -> u64 {
+    let by_proof = EndProof::ALL.map(|proof| counters.active_after_free.get(proof));
+    by_proof.iter().sum::<u64>() + counters.active_unplaced
+}
+
 /// Simulated cluster of an owner, a store and workers.
 pub struct SimulatedCluster {
     /// Longest lease that a worker takes, milliseconds.
@@ -347,6 +353,8 @@
     pub store_up: bool,
     /// Step of the time of day of the owner's host, milliseconds.
     pub wall_step: i64,
+    /// Whether a run is active after it was freed, without a second one beside it.
+    pub expects_alarm: bool,
     /// Until when the owner computes nothing, and the events that wait for it.
     frozen_until: Timestamp,
     waiting_events: Vec<Event>,
@@ -413,6 +421,7 @@
             starts: BTreeMap::new(),
             store_up: true,
             wall_step: 0,
+            expects_alarm: false,
             frozen_until: Timestamp::ZERO,
             waiting_events: Vec::new(),
             call_faults: Vec::new(),
@@ -769,6 +778,8 @@
                 owner.set_requesting_hosts(request_queue.host_count());
             }
             owner.handle(self.now, wall, event, &mut actions);
+            let alarms = alarms(owner.counters());
+            assert!(alarms == 0 || self.expects_alarm, "{alarms} runs count as active after they were freed");
         }
         for action in actions {
             self.perform(action);
@@ -1387,6 +1398,11 @@
         self.owner.as_ref().map(Owner::counters).unwrap_or_default()
     }
 
+    /// Returns how many runs the current owner has seen active after they were freed.
+    pub fn alarms(&self) -> u64 {
+        alarms(self.counters())
+    }
+
     /// Queries the state of a job for its own workspace, and checks that a final state never changes.
     pub fn query_state(&mut self, job: u64) -> Option<JobState> {
         let number = u64::MAX - job;
--- a/yuccahoist/tests/shard/freed.rs
+++ b/yuccahoist/tests/shard/freed.rs
@@ -4,6 +4,10 @@
 use std::cell::RefCell;
 
 use log::{LevelFilter, Log, Metadata, Record};
+use yuccahoist::shard::lease::LeaseBound;
+use yuccahoist::shard::message::{Event, OrderError};
+use yuccahoist::shard::run_end::EndProof;
+use yuccahoist::shard::{JobKey, StepKey};
 
 use super::cluster::{SimulatedCluster, spec};
 
@@ -11,6 +15,8 @@
 const LONG_MS: u64 = 30_000;
 /// Time within which the lease of a worker out of contact expires, milliseconds.
 const LAPSE_MS: u64 = 5_500;
+/// Clock rate, below the one that the platform allows, that makes a worker outlast its lease.
+const TOO_SLOW: f64 = 0.2;
 
 thread_local! {
     static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
@@ -63,13 +69,18 @@
 
 /// Returns a cluster of one worker that runs the task of job 1, so that a freed task starts nowhere else.
 fn busy_worker(task_ms: u64) -> SimulatedCluster {
+    busy_cluster(1, task_ms).0
+}
+
+/// Returns a cluster of so many workers, and the one that runs the task of job 1.
+fn busy_cluster(workers: u32, task_ms: u64) -> (SimulatedCluster, usize) {
     collect_lines();
-    let mut cluster = SimulatedCluster::new(1, 1);
+    let mut cluster = SimulatedCluster::new(1, workers);
     cluster.advance(100);
     cluster.submit(1, spec(1, task_ms));
     cluster.advance(1_000);
-    assert_eq!(cluster.running_on(0), 1, "the task does not run");
-    cluster
+    let worker = cluster.workers_of(1)[0];
+    (cluster, worker)
 }
 
 /// The line named neither the bound of the lease nor the age of the order, so a missed order could not be told from a lease
@@ -128,6 +139,104 @@
     }
 }
 
+/// A run that had outlasted the lease on which it was freed left a line without a time, as one that had lapsed in time.
+#[test]
+fn run_that_is_active_after_it_was_freed_raises_the_alarm_once() {
+    struct Case {
+        name: &'static str,
+        takes_over: bool,
+        /// Proof and bound in the line, and the counts by the proof and without one.
+        proof: &'static str,
+        bound: &'static str,
+        counts: (u64, u64),
+    }
+    let cases = [
+        Case { name: "by this owner", takes_over: false, proof: "lapsed", bound: "granted", counts: (1, 0) },
+        Case {
+            name: "by the previous owner",
+            takes_over: true,
+            proof: "none",
+            bound: "none",
+            counts: (0, 1),
+        },
+    ];
+    for case in cases {
+        let mut cluster = busy_worker(LONG_MS);
+        cluster.expects_alarm = true;
+        cluster.set_clock(0, TOO_SLOW, 0);
+        cluster.disconnect(0, LAPSE_MS + 500, false);
+        cluster.advance(LAPSE_MS);
+        assert_eq!(lines_with(&["INFO free ", "proof=lapsed"]).len(), 1, "{}", case.name);
+        if case.takes_over {
+            cluster.take_over(true);
+        }
+        cluster.advance(2_000);
+        let overlap = ["WARN overlap ", "run=1 ", "seen=active"];
+        assert_eq!(field(&overlap, "proof"), case.proof, "{}", case.name);
+        assert_eq!(field(&overlap, "bound"), case.bound, "{}", case.name);
+        assert_eq!(field(&overlap, "next_run"), "none", "{}", case.name);
+        let freed_ms = field(&overlap, "freed_ms");
+        assert_eq!(freed_ms.parse::<u64>().is_ok(), !case.takes_over, "{}: freed_ms={freed_ms}", case.name);
+        let counters = cluster.counters();
+        let counts = (counters.active_after_free.get(EndProof::Lapsed), counters.active_unplaced);
+        assert_eq!(counts, case.counts, "{}", case.name);
+        assert_eq!(counters.expired_leases.get(LeaseBound::Granted), counts.0, "{}", case.name);
+    }
+}
+
+/// The line of a late end told neither the proof on which the run had been freed nor how long ago.
+#[test]
+fn late_end_of_a_freed_run_names_the_proof_and_is_counted_apart() {
+    struct Case {
+        name: &'static str,
+        workers: u32,
+        task_ms: u64,
+        kind: &'static str,
+        next_run: &'static str,
+        count: u64,
+    }
+    let base = Case { name: "", workers: 1, task_ms: 3_000, kind: "Done", next_run: "none", count: 1 };
+    let cases = [
+        Case { name: "done in time", ..base },
+        Case { name: "done in time, started elsewhere", workers: 2, next_run: "2", ..base },
+        Case { name: "lapsed", task_ms: LONG_MS, kind: "Lapsed", count: 0, ..base },
+    ];
+    for case in cases {
+        let (mut cluster, worker) = busy_cluster(case.workers, case.task_ms);
+        cluster.disconnect(worker, LAPSE_MS + 500, false);
+        cluster.advance(LAPSE_MS + 2_000);
+        assert_eq!(lines_with(&["INFO free ", "run=1 ", "proof=lapsed"]).len(), 1, "{}", case.name);
+        let end = ["INFO end ", "run=1 ", &format!("kind={}", case.kind), "freed_ms="];
+        assert_eq!(field(&end, "proof"), "lapsed", "{}", case.name);
+        assert_eq!(field(&end, "bound"), "granted", "{}", case.name);
+        assert!(number(&end, "freed_ms") > 0, "{}", case.name);
+        assert_eq!(field(&end, "next_run"), case.next_run, "{}", case.name);
+        assert_eq!(field(&end, "next_ms").parse::<u64>().is_ok(), case.next_run != "none", "{}", case.name);
+        assert_eq!(cluster.counters().ended_after_free, case.count, "{}", case.name);
+        assert_eq!(lines_with(&["overlap"]), Vec::<String>::new(), "{}", case.name);
+    }
+}
+
+/// A run whose start order had been taken for refused ended unnoticed.
+#[test]
+fn end_of_a_run_that_was_taken_for_refused_raises_the_alarm() {
+    collect_lines();
+    let mut cluster = SimulatedCluster::new(1, 1);
+    cluster.advance(100);
+    cluster.submit(1, spec(1, 300));
+    cluster.advance_until_ordered(1);
+    let incarnation = cluster.entry_of(0).incarnation;
+    let task = StepKey { job: JobKey(1), occurrence: 0, step: 0 }.task(0);
+    cluster.expects_alarm = true;
+    cluster.set_draining(0, true);
+    cluster.advance(5);
+    cluster.handle_event(Event::Started(task, 1, incarnation, Err(OrderError::Room)));
+    cluster.advance(800);
+    let overlap = ["WARN overlap ", "run=1 ", "seen="];
+    assert_eq!(field(&overlap, "proof"), "refused");
+    assert_eq!(cluster.counters().active_after_free.get(EndProof::Refused), 1);
+}
+
 /// A worker whose clock is ahead of the host's was shown as started just now, since a negative age was printed as zero.
 #[test]
 fn first_report_shows_a_negative_age_and_the_clock_of_the_worker() {
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -795,6 +795,8 @@
     cluster.advance(650);
     cluster.restart_worker(worker);
     cluster.disconnect(worker, 45, false);
+    cluster.expects_alarm = true;
     cluster.advance(SETTLE_MS);
+    assert_eq!(cluster.alarms(), 1, "a run that was freed too early raises no alarm");
     assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
 }
