--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -9,6 +9,7 @@
 mod effects;
 mod evacuation;
 mod filler_pace;
+mod freed;
 mod isolation;
 mod losses;
 mod neighbours;
@@ -21,6 +22,7 @@
 mod runs;
 mod schedule;
 mod shares;
+mod time_of_day;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -174,6 +176,13 @@
     pub lost: u64,
     /// Runs that ended, by the proof of their end.
     pub ended_runs: EndCounts,
+    /// Runs that were active after they had been freed, by the proof on which they were.
+    pub active_after_free: EndCounts,
+    /// Runs that were active without a place, which a previous owner had freed.
+    pub active_unplaced: u64,
+    /// Runs that ended otherwise than by their lease and whose end was reported after they had been freed on it: they ended
+    /// before, or were active after.
+    pub ended_after_free: u64,
     /// Leases that expired with runs on their workers, by the orders that decided their end.
     pub expired_leases: ExpiryCounts,
     /// Workers of which a later incarnation showed that they had crashed.
@@ -210,8 +219,12 @@
     workers: BTreeMap<WorkerIncarnation, Worker>,
     /// Last incarnation under an id that was removed, as long as a later one may execute orders to it.
     removed: BTreeMap<Arc<str>, restarts::Removed>,
+    /// Runs that were freed lately.
+    freed: freed::FreedRuns,
     /// When this owner took over.
     restored_at: Timestamp,
+    /// Difference of the time of day and the monotonic clock, milliseconds.
+    wall_offset: i128,
     /// Steps with a pending task that may start, in the order of their rank.
     ready: ReadySteps,
     /// Number of jobs by queue that have not begun.
@@ -299,6 +312,7 @@
 
     /// Handles an event and appends the resulting actions to `actions`; `wall` is in milliseconds since the Unix epoch.
     pub fn handle(&mut self, now: Timestamp, wall: u64, event: Event, actions: &mut Vec<Action>) {
+        self.note_time_of_day(now, wall);
         match event {
             Event::Call(call, request) => self.on_call(now, wall, call, request),
             Event::Worker(entry) => self.on_worker(now, entry),
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::freed::Age;
 use super::{Effect, Owner};
 use crate::shard::id::{TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
@@ -190,8 +191,12 @@
             self.pass_due = true;
             log::info!(
                 target: "decision",
-                "worker worker={incarnation} outcome=reported age_ms={} active={} ended={} lease_ms={} bound={}",
-                age.as_millis(),
+                "worker worker={incarnation} outcome=reported age_ms={} clock_ms={} predecessor={} unanswered_ms={} \
+                 active={} ended={} lease_ms={} bound={}",
+                Self::signed_age(wall, incarnation.started_at),
+                report.clock,
+                worker.has_predecessor,
+                Age::since(now, worker.unanswered),
                 report.active.len(),
                 report.ended.len(),
                 worker.lease.expiry().since(now).as_millis(),
@@ -211,6 +216,7 @@
         for end in &report.ended {
             if end.number > previous {
                 self.counters.ended_runs.add(EndProof::Reported);
+                self.check_end(now, incarnation, end);
                 self.on_end(now, incarnation, end.task, end.run, end.kind, &end.checkpoint);
             }
         }
@@ -222,6 +228,7 @@
         let mut listed = BTreeSet::new();
         for active in &report.active {
             listed.insert((active.task, active.run));
+            self.check_active(now, incarnation, active.task, active.run, sent);
             self.on_active_run(now, incarnation, active);
             if let Some(worker) = self.workers.get_mut(incarnation) {
                 worker.list(now, active.task, active.run);
@@ -281,6 +288,7 @@
     /// Handles a run that the records do not place on this worker. It counts against the capacity until it is gone, and is
     /// stopped unless runs of its task may overlap and the task is not done. Until then its task starts no other run.
     fn on_unplaced_run(&mut self, now: Timestamp, incarnation: &WorkerIncarnation, task: TaskKey, run: u32) {
+        self.check_unplaced(now, incarnation, task, run);
         let job = self.jobs.get(&task.step.job);
         let step_spec = job.and_then(|j| j.spec.steps.get(task.step.step as usize));
         let known = step_spec.map(|s| (s.reserved(), s.resources, s.speculative));
