Allow for the clocks of two machines in the age of a worker

Callers saw nothing yet; a test shows two runs of a task at once. The allowance of 5 s covered the error of one of them. With a host 5 s ahead and a worker that had started 5 s behind, a worker of 15 s counted as one of 25 s, and its lease, just extended to 10 s by a late start order, as up to 2 s shorter.

The allowance is 10 s now, the difference of two clocks that are each 5 s off. Clocks that differ the other way, and a time of day before the start of the worker, make the worker look younger, which keeps the longest lease. The price: at the first report to a new owner, a worker of up to 34 s, earlier 29 s, counts with more than the usual lease, if it is lost before that lease ends.

clocks_off_in_opposite_directions_do_not_make_a_young_worker_old plays 25 pairs of errors of -5, -2.4, 0, 2.4 and 5 s: before, the pair (5, -5) fails; now none does.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -20,8 +20,10 @@
 /// Age until which an incarnation of a worker may execute an order that a previous owner sent to an earlier one. An owner
 /// that does not know of the restart sends orders until its last confirmed write is too old.
 pub const MAX_EARLIER_ORDER_AGE: Duration = MAX_UNCONFIRMED_AGE.saturating_add(MAX_ORDER_DELAY);
-/// Difference between the times of day of two hosts; a time of day may jump by seconds.
-pub const MAX_CLOCK_OFFSET: Duration = Duration::from_secs(5);
+/// Error of the time of day of a machine, which may jump by seconds.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(5);
+/// Difference between the times of day of two machines.
+pub const MAX_CLOCK_OFFSET: Duration = MAX_CLOCK_ERROR.saturating_mul(2);
 /// Longest time for which an answer with a reading of a worker's clock was on its way.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(2);
 /// Default duration of a lease. Covers a takeover and a simultaneous power cut of all hosts of 1.5 s. Shorter than the
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -327,6 +327,9 @@
     /// Longest lease that a worker takes, milliseconds.
     max_lease: u64,
     pub now: Timestamp,
+    /// Errors of the times of day of the hosts and of the workers, milliseconds.
+    pub host_clock_error: i64,
+    pub worker_clock_error: i64,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
     pub deadly: Option<DeadlyTasks>,
@@ -399,6 +402,8 @@
         let mut cluster = Self {
             max_lease,
             now: Timestamp::from_millis(100_000),
+            host_clock_error: 0,
+            worker_clock_error: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
             deadly: None,
@@ -446,8 +451,9 @@
         cluster
     }
 
-    fn wall(&self) -> u64 {
-        1_790_000_000_000 + self.now.as_micros() / 1_000
+    /// Returns the time of day of a machine whose clock is off by `error` milliseconds.
+    fn wall(&self, error: i64) -> u64 {
+        (1_790_000_000_000 + self.now.as_micros() / 1_000).saturating_add_signed(error)
     }
 
     /// Replaces the owner by a new one; a write in flight takes effect only if `write_lands`.
@@ -468,7 +474,7 @@
         }
         let table = self.tables.last().map(|(_, table)| table.clone()).unwrap_or_default();
         let options = OwnerOptions::new(ownership, Duration::from_millis(self.max_lease)).workspaces(table);
-        self.owner = Some(Owner::restore(options, records, self.now, self.wall()));
+        self.owner = Some(Owner::restore(options, records, self.now, self.wall(self.host_clock_error)));
         (0..self.workers.len()).for_each(|number| self.register(number));
     }
 
@@ -594,7 +600,7 @@
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let started_at = self.wall().max(incarnation.started_at + 1);
+        let started_at = self.wall(self.worker_clock_error).max(incarnation.started_at + 1);
         let mut worker = Worker::new(id, started_at, self.now, 0);
         if let Some(previous) = previous {
             worker.entry.capacity = previous.entry.capacity;
@@ -615,7 +621,7 @@
         self.workers.remove(&incarnation);
         self.handle_event(Event::WorkerUnlisted(incarnation.id.clone(), Unlisting::Unexplained));
         let id: u32 = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let started_at = self.wall().max(incarnation.started_at + 1);
+        let started_at = self.wall(self.worker_clock_error).max(incarnation.started_at + 1);
         let mut worker = Worker::new(id + 100, started_at, self.now, 0);
         worker.entry.address = address;
         let replacement = worker.entry.incarnation.clone();
@@ -759,7 +765,7 @@
             self.waiting_events.push(event);
             return;
         }
-        let wall = self.wall();
+        let wall = self.wall(self.host_clock_error);
         let mut actions = Vec::new();
         if let Some(owner) = &mut self.owner {
             if let Some(request_queue) = &self.request_queue {
--- a/yuccahoist/tests/shard/decisions.rs
+++ b/yuccahoist/tests/shard/decisions.rs
@@ -238,11 +238,11 @@
         /// Bounds of the rest of its lease, milliseconds.
         rest: std::ops::Range<u64>,
     }
-    // An order to an earlier incarnation is executed up to 18 s after the start; times of day differ by 5 s at most.
+    // An order to an earlier incarnation is executed up to 18 s after the start; times of day differ by 10 s at most.
     let cases = [
         Case { name: "just started", age: 0, rest: 10_204..10_500 },
-        Case { name: "an order may just have been executed", age: 23_000, rest: 10_204..10_500 },
-        Case { name: "the last order was executed 3 s ago", age: 26_000, rest: 7_204..7_500 },
+        Case { name: "an order may just have been executed", age: 28_000, rest: 10_204..10_500 },
+        Case { name: "the last order was executed 3 s ago", age: 31_000, rest: 7_204..7_500 },
         Case { name: "its lease by such an order has expired", age: 60_000, rest: 4_081..4_500 },
     ];
     for case in cases {
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -2,13 +2,14 @@
 //! runs of a task overlap.
 
 use std::collections::BTreeSet;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use yuccahoist::shard::message::WorkerEntry;
 use yuccahoist::shard::record::JobState;
 use yuccahoist::shard::{Event, JobKey};
 use yuccahoist::unit::Resources;
 
-use super::cluster::{DeadlyTasks, SimulatedCluster, WORKER_CAPACITY, spec};
+use super::cluster::{CallFault, CallKind, DeadlyTasks, SimulatedCluster, WORKER_CAPACITY, spec};
 
 /// Duration of the tasks, milliseconds; longer than a lease.
 const TASK_MS: u64 = 20_000;
@@ -268,3 +269,47 @@
         assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "age {age} ms: tasks did not restart");
     }
 }
+
+/// The error of only one clock was allowed for, so a young worker passed for one that is too old for an earlier order.
+#[test]
+fn clocks_off_in_opposite_directions_do_not_make_a_young_worker_old() {
+    let errors = [-5_000, -2_400, 0, 2_400, 5_000];
+    let cases = errors.into_iter().flat_map(|host| errors.map(|worker| (host, worker)));
+    let mut broken = Vec::new();
+    for (host, worker) in cases {
+        let play = || {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.host_clock_error = host;
+            cluster.worker_clock_error = worker;
+            cluster.advance(5_000);
+            let small = Resources::new(1_000, 1_000, 0);
+            (1..3).for_each(|number| cluster.resize_worker(number, small));
+            cluster.advance(200);
+            // The owner does not know of the restart when it sends the order.
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::AnswerAfter(0));
+            cluster.advance_until_called(0);
+            cluster.fault_next_call(0, CallKind::Start, CallFault::ExecutedAfter(11_900));
+            cluster.submit(1, spec(1, 300));
+            cluster.advance(5);
+            cluster.freeze_owner(2_900);
+            cluster.restart_unnoticed(0);
+            cluster.advance_until_called(0);
+            cluster.advance(1_000);
+            cluster.register(0);
+            cluster.advance(3_000);
+            cluster.submit(2, spec(3, TASK_MS));
+            cluster.advance(7_950);
+            assert!(cluster.running_on(0) > 0, "no task runs on the worker");
+            cluster.take_over(true);
+            cluster.advance(50);
+            (1..3).for_each(|number| cluster.resize_worker(number, WORKER_CAPACITY));
+            cluster.disconnect(0, 60_000, false);
+            cluster.advance(TAKEOVER_RESTART_MS + TASK_MS);
+            assert!(cluster.starts[&JobKey(2)] > 3, "the tasks did not restart");
+        };
+        if catch_unwind(AssertUnwindSafe(play)).is_err() {
+            broken.push((host, worker));
+        }
+    }
+    assert!(broken.is_empty(), "errors of the clocks of host and worker, milliseconds: {broken:?}");
+}
