Count late orders in the lease of a young worker that a new owner never reaches

Callers saw, in a test, two runs of a task at once: an extension of the previous owner for an earlier incarnation was executed 3 to 5 s late by a restarted worker that was cut off before the new owner reached it. The new owner counted the lease that its predecessor would have granted, 10.2 s from the takeover; the late extension had set the longest lease, 10 s from its execution.

An order to an earlier incarnation was sent before the takeover, and by an owner that did not know of the restart, so until 6 s after it. It is executed up to 12 s late and extends the lease to the longest. The lease of an unreached worker therefore lasts 12 s and the longest lease from the takeover, less what is beyond 6 s of its age then, if that is later than the former bound. So the lease of a worker that had started 28 s before the takeover, or earlier, is as before, and so is any after a first report.

Not covered: an owner that was frozen during the takeover and sends an order to an earlier incarnation after it. Six more seconds would cover that, for every young worker.

The price: tasks on a worker that started less than 28 s before the takeover, or after it, and is lost before its first report to the new owner wait up to 22.2 s from the takeover instead of 10.2 s.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -40,6 +40,25 @@
     (lease + drift).div_f64(MIN_CLOCK_RATE)
 }
 
+/// Returns the time until which previous owners may have extended the lease of a worker that has not reported to the owner,
+/// which read its records at `restored`, when the age of the worker was `age` by the time of day.
+///
+/// An order to an earlier incarnation was sent before `restored`, by a previous owner that did not know of this incarnation, so
+/// soon after its start. It extends the lease to `longest` when it is executed.
+#[must_use]
+pub fn inherited_expiry(
+    now: Timestamp,
+    restored: Timestamp,
+    age: Duration,
+    lease: Duration,
+    longest: Duration,
+) -> Timestamp {
+    let granted = now + MAX_UNCONFIRMED_AGE + max_grant(lease);
+    let since_order = age.saturating_sub(MAX_CLOCK_OFFSET + MAX_UNCONFIRMED_AGE);
+    let late = MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
+    granted.max(restored + late.saturating_sub(since_order))
+}
+
 /// Orders that decide when the lease of a worker ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LeaseBound {
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -212,6 +212,8 @@
     removed: BTreeMap<Arc<str>, restarts::Removed>,
     /// When this owner took over.
     restored_at: Timestamp,
+    /// The same time, milliseconds since the Unix epoch.
+    restored_wall: u64,
     /// Steps with a pending task that may start, in the order of their rank.
     ready: ReadySteps,
     /// Number of jobs by queue that have not begun.
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -150,7 +150,7 @@
         self.confirm_crashes_before(now, &entry);
         self.pass_due = true;
         let follows = !self.incarnations_of(&incarnation, |other| other < incarnation.started_at).is_empty();
-        let inherited = self.inherited_expiry(now);
+        let inherited = self.inherited_expiry(now, &incarnation);
         let worker = self.workers.entry(incarnation.clone()).or_insert_with(|| {
             log::info!(target: "decision", "worker worker={incarnation} outcome=registered capacity={}", entry.capacity);
             let mut worker = Worker::new(entry.clone(), now, inherited);
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -1,6 +1,7 @@
 //! Recovery: the state of a new owner is rebuilt from the records of the store.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::observe::SpeedPlacement;
 use super::{Batch, Counters, Owner, OwnerOptions};
@@ -8,7 +9,7 @@
 use crate::shard::id::{JobKey, WorkerIncarnation};
 use crate::shard::job::{Job, Phase, Placement, Task};
 use crate::shard::learning::Learning;
-use crate::shard::lease::{MAX_UNCONFIRMED_AGE, max_grant};
+use crate::shard::lease::inherited_expiry;
 use crate::shard::loss::Losses;
 use crate::shard::message::WorkerEntry;
 use crate::shard::ready::ReadySteps;
@@ -68,6 +69,7 @@
             workers: BTreeMap::new(),
             removed: BTreeMap::new(),
             restored_at: now,
+            restored_wall: wall,
             ready: ReadySteps::default(),
             queued_jobs: BTreeMap::new(),
             batch: Batch::default(),
@@ -117,9 +119,11 @@
         owner
     }
 
-    /// Returns the time until which a previous owner may have extended a worker's lease.
-    pub(super) fn inherited_expiry(&self, now: Timestamp) -> Timestamp {
-        now + MAX_UNCONFIRMED_AGE + max_grant(self.options.lease)
+    /// Returns the time until which previous owners may have extended the lease of an incarnation that this owner has not
+    /// reached.
+    pub(super) fn inherited_expiry(&self, now: Timestamp, incarnation: &WorkerIncarnation) -> Timestamp {
+        let age = Duration::from_millis(self.restored_wall.saturating_sub(incarnation.started_at));
+        inherited_expiry(now, self.restored_at, age, self.options.lease, self.options.max_lease)
     }
 
     fn restore_job(
@@ -153,7 +157,8 @@
         }
         self.watch_caps(&spec);
         self.begin_occurrences(now, wall, key);
-        let inherited = self.inherited_expiry(now);
+        let inherited: BTreeMap<_, _> =
+            progress.incarnations.iter().map(|i| (i, self.inherited_expiry(now, i))).collect();
         let workspace = spec.workspace.as_ref().map(|w| w.name.clone());
         let Some(job) = self.jobs.get_mut(&key) else { return };
         for (occurrence, steps) in (0u32..).zip(&progress.occurrences) {
@@ -171,8 +176,13 @@
                     if let Some(placement) = &task.placement {
                         let task_key =
                             crate::shard::id::StepKey { job: key, occurrence, step: number }.task(index);
-                        let placeholder =
-                            || Worker::new(unlisted_entry(&placement.incarnation), now, inherited);
+                        let placeholder = || {
+                            Worker::new(
+                                unlisted_entry(&placement.incarnation),
+                                now,
+                                inherited[&placement.incarnation],
+                            )
+                        };
                         let worker =
                             self.workers.entry(placement.incarnation.clone()).or_insert_with(placeholder);
                         worker.unlisted_since = Some(now);
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -87,7 +87,7 @@
     ) {
         let Some(earlier) = self.workers.get(incarnation) else { return };
         let (is_called, last) = (earlier.is_called(), earlier.last_unanswered());
-        let inherited = self.inherited_expiry(now);
+        let inherited = self.inherited_expiry(now, next);
         let entry = WorkerEntry {
             incarnation: next.clone(),
             draining: false,
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -313,3 +313,22 @@
     }
     assert!(broken.is_empty(), "errors of the clocks of host and worker, milliseconds: {broken:?}");
 }
+
+/// The tasks of a worker that a new owner never reached waited for orders that only a younger worker could execute late.
+#[test]
+fn tasks_of_an_old_worker_wait_for_no_earlier_order_after_a_takeover() {
+    for age in [29_000, 40_000] {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.restart_worker(0);
+        cluster.advance(age - 1_000);
+        cluster.submit(1, spec(8, TASK_MS));
+        cluster.advance(1_000);
+        let runs = cluster.running_on(0);
+        assert!(runs > 0, "age {age} ms: no task runs on the worker");
+        cluster.disconnect(0, 60_000, false);
+        cluster.take_over(true);
+        cluster.advance(TAKEOVER_RESTART_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "age {age} ms: tasks did not restart");
+    }
+}
