Hold a run whose late start an unreachable incarnation may have executed

Callers saw, in a test, two runs of a task at once: a start order without a ticket was not answered, and a restarted worker that its owner never reached executed it 3 to 11 s later. The task started elsewhere 12.6 s after the order, once that could not be executed any more; the run that it had begun was still active.

A run that begins late lasts as long as the lease that its order sets, the longest. A run whose start order has no ticket and was neither answered nor listed now stays placed on a worker that is lost until 12 s after the timeout of the order and the longest lease. A report asked for after the 12 s ends the wait as before, and so does one of the next incarnation.

The price, only for starts without a ticket that were not answered, on workers that are lost: 23.1 s after the order instead of 12.6 s, with a longest lease of 10 s.

--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -74,11 +74,16 @@
         self.ordered_at.filter(|_| !is_executed)
     }
 
+    /// Returns until when an incarnation that starts later may execute the start order; `None` if it can't.
+    fn begins_later_until(&self) -> Option<Timestamp> {
+        let sent = self.unanswered_since().filter(|_| self.ticketed_at.is_none());
+        sent.map(|at| self.timed_out.unwrap_or(at) + MAX_ORDER_DELAY)
+    }
+
     /// Whether an incarnation that starts later may still execute the start order.
     #[must_use]
     pub fn may_begin_later(&self, now: Timestamp) -> bool {
-        let sent = self.unanswered_since().filter(|_| self.ticketed_at.is_none());
-        sent.is_some_and(|at| now < self.timed_out.unwrap_or(at) + MAX_ORDER_DELAY)
+        self.begins_later_until().is_some_and(|until| now < until)
     }
 
     /// Whether a later incarnation that the owner does not know of may have the run, although the lease of this one has expired.
@@ -90,7 +95,8 @@
         let sent =
             self.unanswered_since().filter(|at| is_later(*at) && self.ticketed_at.is_none_or(is_later));
         let lease = longest.div_f64(MIN_CLOCK_RATE) + MAX_TIMER_DELAY;
-        self.may_begin_later(now) || sent.is_some_and(|at| now < at + MAX_START_TIME + lease)
+        let late = self.begins_later_until().filter(|until| reported < *until);
+        late.max(sent.map(|at| at + MAX_START_TIME)).is_some_and(|begun| now < begun + lease)
     }
 
     /// Whether the run may still crash its worker, as earlier runs of its task may have done.
