--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -20,8 +20,10 @@
 /// Age until which an incarnation of a worker may execute an order that a previous owner sent to an earlier one. An owner
 /// that does not know of the restart sends orders until its last confirmed write is too old.
 pub const MAX_EARLIER_ORDER_AGE: Duration = MAX_UNCONFIRMED_AGE.saturating_add(MAX_ORDER_DELAY);
-/// Difference between the times of day of two hosts; a time of day may jump by seconds.
-pub const MAX_CLOCK_OFFSET: Duration = Duration::from_secs(5);
+/// Error of the time of day of a machine, which may jump by seconds.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(5);
+/// Difference between the times of day of two machines.
+pub const MAX_CLOCK_OFFSET: Duration = MAX_CLOCK_ERROR.saturating_mul(2);
 /// Longest time for which an answer with a reading of a worker's clock was on its way.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(2);
 /// Default duration of a lease. Covers a takeover and a simultaneous power cut of all hosts of 1.5 s. Shorter than the
@@ -38,6 +40,25 @@
     (lease + drift).div_f64(MIN_CLOCK_RATE)
 }
 
+/// Returns the time until which previous owners may have extended the lease of a worker that has not reported to the owner,
+/// which read its records at `restored`, when the age of the worker was `age` by the time of day.
+///
+/// An order to an earlier incarnation was sent before `restored`, by a previous owner that did not know of this incarnation, so
+/// soon after its start. It extends the lease to `longest` when it is executed.
+#[must_use]
+pub fn inherited_expiry(
+    now: Timestamp,
+    restored: Timestamp,
+    age: Duration,
+    lease: Duration,
+    longest: Duration,
+) -> Timestamp {
+    let granted = now + MAX_UNCONFIRMED_AGE + max_grant(lease);
+    let since_order = age.saturating_sub(MAX_CLOCK_OFFSET + MAX_UNCONFIRMED_AGE);
+    let late = MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
+    granted.max(restored + late.saturating_sub(since_order))
+}
+
 /// Orders that decide when the lease of a worker ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LeaseBound {
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -223,6 +223,8 @@
     freed: freed::FreedRuns,
     /// When this owner took over.
     restored_at: Timestamp,
+    /// The same time, milliseconds since the Unix epoch.
+    restored_wall: u64,
     /// Difference of the time of day and the monotonic clock, milliseconds.
     wall_offset: i128,
     /// Steps with a pending task that may start, in the order of their rank.
--- a/yuccahoist/tests/shard/freed.rs
+++ b/yuccahoist/tests/shard/freed.rs
@@ -243,9 +243,8 @@
     collect_lines();
     let mut cluster = SimulatedCluster::new(1, 1);
     cluster.advance(500);
-    cluster.wall_step = 7_000;
+    cluster.worker_clock_error = 7_000;
     cluster.restart_worker(0);
-    cluster.wall_step = 0;
     cluster.advance(500);
     let incarnation = cluster.entry_of(0).incarnation.to_string();
     let reported = ["outcome=reported", &incarnation];
@@ -262,7 +261,7 @@
         collect_lines();
         let mut cluster = SimulatedCluster::new(1, 1);
         cluster.advance(500);
-        cluster.wall_step = step;
+        cluster.host_clock_error = step;
         cluster.advance(500);
         assert_eq!(number(&["WARN clock ", "outcome=stepped"], "step_ms"), step);
     }
