Store what an owner knows of orders to earlier incarnations of its workers

Cause: the previous owner knew of the restart, and its successor guessed it again from two clocks. The progress of a job now names the workers whose leases an order to an earlier incarnation may have extended, or may still extend, and a new owner counts the longest lease for these whatever the clocks say. It is read before any call, so it also covers a worker that is never reached. That replaces the bound by the age of the worker, under which the tasks of any worker that started less than 28 s before a change of owner waited for up to 28 s, also if its id had not been used before. The age still decides where no owner knew of the restart. When the lease does not last by such orders any more, the jobs on the worker are stored again without the mark.

The field follows the others of the record; earlier versions ignore it, and records without it are read as before.

--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -6,6 +6,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::unit::Timestamp;
 
 /// Slowest rate of a worker's clock, against the owner's; set by the platform, which allows clocks to be 2 % slow.
@@ -40,23 +42,18 @@
     (lease + drift).div_f64(MIN_CLOCK_RATE)
 }
 
-/// Returns the time until which previous owners may have extended the lease of a worker that has not reported to the owner,
-/// which read its records at `restored`, when the age of the worker was `age` by the time of day.
-///
-/// An order to an earlier incarnation was sent before `restored`, by a previous owner that did not know of this incarnation, so
-/// soon after its start. It extends the lease to `longest` when it is executed.
-#[must_use]
-pub fn inherited_expiry(
-    now: Timestamp,
-    restored: Timestamp,
-    age: Duration,
-    lease: Duration,
-    longest: Duration,
-) -> Timestamp {
-    let granted = now + MAX_UNCONFIRMED_AGE + max_grant(lease);
-    let since_order = age.saturating_sub(MAX_CLOCK_OFFSET + MAX_UNCONFIRMED_AGE);
-    let late = MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
-    granted.max(restored + late.saturating_sub(since_order))
+/// Returns the latest end of a lease by an order that was sent at `last` and can be executed late, up to `longest` after that.
+fn late_expiry(last: Timestamp, longest: Duration) -> Timestamp {
+    last + MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE)
+}
+
+/// What is known of orders to an earlier incarnation of a worker, for the next owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum EarlierOrders {
+    /// One may have extended the lease to the longest that the worker takes.
+    Executed,
+    /// One may still do so.
+    Pending,
 }
 
 /// Orders that decide when the lease of a worker ends.
@@ -137,13 +134,24 @@
     inherited_until: Timestamp,
     /// Until when runs may be active by orders of this owner to an earlier incarnation of the worker.
     late_until: Timestamp,
+    /// Until when the lease may last by an order to an earlier incarnation of which this owner or a previous one knows.
+    longest_until: Timestamp,
+    /// What is known of such orders before the first report.
+    earlier_orders: Option<EarlierOrders>,
 }
 
 impl Lease {
     /// Returns the lease of a worker that a previous owner may have extended until `inherited_until`.
     #[must_use]
     pub const fn new(inherited_until: Timestamp) -> Self {
-        Self { clock_sample: None, deadline: None, inherited_until, late_until: Timestamp::ZERO }
+        Self {
+            clock_sample: None,
+            deadline: None,
+            inherited_until,
+            late_until: Timestamp::ZERO,
+            longest_until: Timestamp::ZERO,
+            earlier_orders: None,
+        }
     }
 
     /// Records the worker's `clock`, milliseconds, from an answer received at `now`.
@@ -215,20 +223,54 @@
     /// `longest`, the longest lease that the worker takes, since its deadline is on another clock.
     pub fn fence_inherited(&mut self, now: Timestamp, age: Duration, duration: Duration, longest: Duration) {
         let granted = self.inherited_until.min(now + max_grant(duration));
+        let is_known = self.earlier_orders.take().is_some();
+        let age = if is_known { Duration::ZERO } else { age };
         let since_order = age.saturating_sub(MAX_EARLIER_ORDER_AGE + MAX_CLOCK_OFFSET);
         let earlier = now + longest.div_f64(MIN_CLOCK_RATE).saturating_sub(since_order);
         self.inherited_until = granted.max(earlier);
+        if is_known {
+            self.longest_until = self.longest_until.max(earlier);
+        }
+    }
+
+    /// Includes orders to an earlier incarnation, the last of which was sent by `last`, until the first report.
+    pub fn inherit_orders(&mut self, orders: EarlierOrders, last: Timestamp, longest: Duration) {
+        let until = match orders {
+            EarlierOrders::Executed => last + longest.div_f64(MIN_CLOCK_RATE),
+            EarlierOrders::Pending => late_expiry(last, longest),
+        };
+        self.inherited_until = self.inherited_until.max(until);
+        self.earlier_orders = self.earlier_orders.max(Some(orders));
+    }
+
+    /// Returns what the next owner has to know of orders to an earlier incarnation; `None` if none extends the lease.
+    #[must_use]
+    pub fn earlier_orders(&self, now: Timestamp) -> Option<EarlierOrders> {
+        if now < self.late_until {
+            return Some(EarlierOrders::Pending);
+        }
+        self.earlier_orders.or_else(|| (now < self.longest_until).then_some(EarlierOrders::Executed))
+    }
+
+    /// Whether such orders were known until now and the lease does not last by them any more.
+    pub fn end_earlier_orders(&mut self, now: Timestamp) -> bool {
+        let has_ended = self.longest_until != Timestamp::ZERO && self.longest_until <= now;
+        if has_ended {
+            self.longest_until = Timestamp::ZERO;
+        }
+        has_ended
     }
 
     /// Includes the lease of a later incarnation that has executed an order by `now`; it lasts `longest` at most.
     pub fn include_successor(&mut self, now: Timestamp, longest: Duration) {
         self.late_until = self.late_until.max(now + longest.div_f64(MIN_CLOCK_RATE));
+        self.longest_until = self.longest_until.max(self.late_until);
     }
 
     /// Includes extensions by orders to an earlier incarnation, the last of which was sent at `last`. Such an order can be
     /// executed late, and its deadline is beyond `longest`, the longest lease that the worker takes.
     pub fn include_late_orders(&mut self, last: Timestamp, longest: Duration) {
-        let until = last + MAX_ORDER_DELAY + longest.div_f64(MIN_CLOCK_RATE);
-        self.late_until = self.late_until.max(until);
+        self.late_until = self.late_until.max(late_expiry(last, longest));
+        self.longest_until = self.longest_until.max(self.late_until);
     }
 }
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -223,8 +223,6 @@
     freed: freed::FreedRuns,
     /// When this owner took over.
     restored_at: Timestamp,
-    /// The same time, milliseconds since the Unix epoch.
-    restored_wall: u64,
     /// Difference of the time of day and the monotonic clock, milliseconds.
     wall_offset: i128,
     /// Steps with a pending task that may start, in the order of their rank.
@@ -395,7 +393,7 @@
         }
         let mut batch = std::mem::take(&mut self.batch);
         batch.progress.append(&mut self.begun);
-        let entries = self.encode_batch(&batch);
+        let entries = self.encode_batch(now, &batch);
         self.last_flush = now;
         self.in_flight = Some((batch, now));
         self.actions.push(Action::Append(entries));
--- a/yuccahoist/src/shard/owner/caps.rs
+++ b/yuccahoist/src/shard/owner/caps.rs
@@ -47,13 +47,10 @@
 
     /// Reserves the runs that may be active on silent workers while their tasks are placed elsewhere.
     pub(super) fn restore_displaced(&mut self, now: Timestamp, key: JobKey, displaced: &[DisplacedRun]) {
-        let leases: Vec<_> =
-            displaced.iter().map(|run| self.inherited_expiry(now, &run.incarnation)).collect();
+        let inherited = self.inherited_expiry(now);
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let workspace = job.spec.workspace.as_ref().map(|w| w.name.clone());
-        for (DisplacedRun { occurrence, step, index, run, incarnation }, inherited) in
-            displaced.iter().zip(leases)
-        {
+        for DisplacedRun { occurrence, step, index, run, incarnation } in displaced {
             let Some(spec) = job.spec.steps.get(*step as usize) else { continue };
             let task = StepKey { job: key, occurrence: *occurrence, step: *step }.task(*index);
             let placeholder = || Worker::new(unlisted_entry(incarnation), now, inherited);
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -55,6 +55,7 @@
             self.entitlements.expire(now);
             self.update_workspace_status();
             self.forget_losses();
+            self.forget_earlier_orders(now);
             self.freed.expire(now);
             self.removed.retain(|_, removed| now < removed.at + MAX_ORDER_DELAY);
             self.expire_capped(now);
@@ -151,7 +152,7 @@
         self.confirm_crashes_before(now, &entry);
         self.pass_due = true;
         let follows = !self.incarnations_of(&incarnation, |other| other < incarnation.started_at).is_empty();
-        let inherited = self.inherited_expiry(now, &incarnation);
+        let inherited = self.inherited_expiry(now);
         let worker = self.workers.entry(incarnation.clone()).or_insert_with(|| {
             log::info!(target: "decision", "worker worker={incarnation} outcome=registered capacity={}", entry.capacity);
             let mut worker = Worker::new(entry.clone(), now, inherited);
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -1,7 +1,7 @@
 //! Encoding of batches, and their effects once they are stored.
 
 use super::{Batch, Effect, Owner};
-use crate::shard::id::{JobKey, TaskKey};
+use crate::shard::id::{JobKey, TaskKey, WorkerIncarnation};
 use crate::shard::job::Phase;
 use crate::shard::message::Action;
 use crate::shard::record::{Entry, Progress, Record};
@@ -34,7 +34,7 @@
 
 impl Owner {
     /// Encodes a batch; if it is empty, the ownership record is written as a heartbeat.
-    pub(super) fn encode_batch(&mut self, batch: &Batch) -> Vec<Entry> {
+    pub(super) fn encode_batch(&mut self, now: Timestamp, batch: &Batch) -> Vec<Entry> {
         let mut entries = Vec::new();
         for key in &batch.jobs {
             if let Some(job) = self.jobs.get(key) {
@@ -43,7 +43,11 @@
         }
         for key in &batch.progress {
             let Some(job) = self.jobs.get_mut(key) else { continue };
-            entries.push(progress_entry(*key, job.progress(), self.options.max_record));
+            let mut progress = job.progress();
+            let orders = |i: &WorkerIncarnation| self.workers.get(i)?.lease.earlier_orders(now);
+            let incarnations = (0u32..).zip(&progress.incarnations);
+            progress.earlier_orders = incarnations.filter_map(|(n, i)| Some((n, orders(i)?))).collect();
+            entries.push(progress_entry(*key, progress, self.options.max_record));
             if job.state.is_final() && job.active_runs == 0 && !job.spec_deleted {
                 job.spec_deleted = true;
                 entries.push(Entry::from(&Record::DeleteSpec(*key)));
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -1,7 +1,6 @@
 //! Recovery: the state of a new owner is rebuilt from the records of the store.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use super::observe::SpeedPlacement;
 use super::{Batch, Counters, Owner, OwnerOptions};
@@ -9,7 +8,7 @@
 use crate::shard::id::{JobKey, WorkerIncarnation};
 use crate::shard::job::{Job, Phase, Placement, Task};
 use crate::shard::learning::Learning;
-use crate::shard::lease::inherited_expiry;
+use crate::shard::lease::{MAX_UNCONFIRMED_AGE, max_grant};
 use crate::shard::loss::Losses;
 use crate::shard::message::WorkerEntry;
 use crate::shard::ready::ReadySteps;
@@ -70,7 +69,6 @@
             removed: BTreeMap::new(),
             freed: super::freed::FreedRuns::default(),
             restored_at: now,
-            restored_wall: wall,
             wall_offset: i128::from(wall) - i128::from(now.as_micros() / 1_000),
             ready: ReadySteps::default(),
             queued_jobs: BTreeMap::new(),
@@ -121,11 +119,9 @@
         owner
     }
 
-    /// Returns the time until which previous owners may have extended the lease of an incarnation that this owner has not
-    /// reached.
-    pub(super) fn inherited_expiry(&self, now: Timestamp, incarnation: &WorkerIncarnation) -> Timestamp {
-        let age = Duration::from_millis(self.restored_wall.saturating_sub(incarnation.started_at));
-        inherited_expiry(now, self.restored_at, age, self.options.lease, self.options.max_lease)
+    /// Returns the time until which a previous owner may have extended a worker's lease.
+    pub(super) fn inherited_expiry(&self, now: Timestamp) -> Timestamp {
+        now + MAX_UNCONFIRMED_AGE + max_grant(self.options.lease)
     }
 
     fn restore_job(
@@ -159,8 +155,7 @@
         }
         self.watch_caps(&spec);
         self.begin_occurrences(now, wall, key);
-        let inherited: BTreeMap<_, _> =
-            progress.incarnations.iter().map(|i| (i, self.inherited_expiry(now, i))).collect();
+        let inherited = self.inherited_expiry(now);
         let workspace = spec.workspace.as_ref().map(|w| w.name.clone());
         let Some(job) = self.jobs.get_mut(&key) else { return };
         for (occurrence, steps) in (0u32..).zip(&progress.occurrences) {
@@ -178,16 +173,14 @@
                     if let Some(placement) = &task.placement {
                         let task_key =
                             crate::shard::id::StepKey { job: key, occurrence, step: number }.task(index);
-                        let placeholder = || {
-                            Worker::new(
-                                unlisted_entry(&placement.incarnation),
-                                now,
-                                inherited[&placement.incarnation],
-                            )
-                        };
+                        let placeholder =
+                            || Worker::new(unlisted_entry(&placement.incarnation), now, inherited);
                         let worker =
                             self.workers.entry(placement.incarnation.clone()).or_insert_with(placeholder);
                         worker.unlisted_since = Some(now);
+                        if let Some(orders) = stored.placement.and_then(|p| progress.earlier_orders.get(&p)) {
+                            worker.lease.inherit_orders(*orders, now, self.options.max_lease);
+                        }
                         let (run, workspace) = (placement.run, workspace.clone());
                         worker.reserve(task_key, run, resources, counted, workspace, Some(now));
                         job.active_runs += 1;
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -7,7 +7,7 @@
 use super::{Effect, Owner};
 use crate::shard::id::{TaskKey, WorkerIncarnation};
 use crate::shard::job::{Phase, Placement};
-use crate::shard::lease::MAX_EARLIER_ORDER_AGE;
+use crate::shard::lease::{EarlierOrders, MAX_EARLIER_ORDER_AGE};
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{ActiveRun, OrderError, Report};
 use crate::shard::run_end::EndProof;
@@ -184,6 +184,9 @@
         if !worker.has_reported {
             worker.has_reported = true;
             let age = Duration::from_millis(wall.saturating_sub(incarnation.started_at));
+            if worker.has_predecessor {
+                worker.lease.inherit_orders(EarlierOrders::Executed, now, self.options.max_lease);
+            }
             // Orders of previous owners are too old by then.
             let is_alone = !worker.has_predecessor && now > self.restored_at + MAX_EARLIER_ORDER_AGE;
             let longest = if is_alone { self.options.lease } else { self.options.max_lease };
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -87,7 +87,7 @@
     ) {
         let Some(earlier) = self.workers.get(incarnation) else { return };
         let (is_called, last) = (earlier.is_called(), earlier.last_unanswered());
-        let inherited = self.inherited_expiry(now, next);
+        let inherited = self.inherited_expiry(now);
         let entry = WorkerEntry {
             incarnation: next.clone(),
             draining: false,
@@ -126,6 +126,16 @@
         }
     }
 
+    /// Stores the jobs on the workers whose leases do not last any more by orders to an earlier incarnation; their records say
+    /// that they do.
+    pub(super) fn forget_earlier_orders(&mut self, now: Timestamp) {
+        for worker in self.workers.values_mut() {
+            if worker.lease.end_earlier_orders(now) {
+                self.batch.progress.extend(worker.runs.keys().map(|(task, _)| task.step.job));
+            }
+        }
+    }
+
     /// Records that a start order to an incarnation was answered; its run may have been moved to a later one.
     pub(super) fn answer_start(&mut self, task: TaskKey, run: u32, incarnation: &WorkerIncarnation) {
         for other in self.incarnations_of(incarnation, |other| other >= incarnation.started_at) {
--- a/yuccahoist/src/shard/record.rs
+++ b/yuccahoist/src/shard/record.rs
@@ -2,7 +2,7 @@
 //!
 //! Decoding a record of an unknown version or with corrupt bytes returns an error that names the key; it never panics.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use super::id::{Epoch, JobKey, StepKey, TaskKey, WorkerIncarnation};
+use super::lease::EarlierOrders;
 use super::loss::Loss;
 use super::spec::JobSpec;
 use super::workspace::Workspace;
@@ -118,6 +119,9 @@
     /// Whether the job is beyond the rate that its workspace is entitled to. Stored behind `losses`.
     #[serde(skip)]
     pub is_excess: bool,
+    /// Orders to earlier incarnations that extend the leases of workers, by index into `incarnations`. Stored behind `losses`.
+    #[serde(skip)]
+    pub earlier_orders: BTreeMap<u32, EarlierOrders>,
 }
 
 impl Progress {
@@ -157,8 +161,9 @@
 struct ProgressExtension {
     displaced: Vec<DisplacedRun>,
     workspace: Option<Workspace>,
-    /// Last field; a record of an earlier version ends before it.
+    /// A record of an earlier version ends before this field, or before the next one.
     is_excess: bool,
+    earlier_orders: BTreeMap<u32, EarlierOrders>,
 }
 
 /// Stored loss of a worker under a run.
@@ -228,6 +233,7 @@
         displaced: progress.displaced.clone(),
         workspace: progress.workspace.clone(),
         is_excess: progress.is_excess,
+        earlier_orders: progress.earlier_orders.clone(),
     };
     let is_extended = extension != ProgressExtension::default();
     if progress.losses.is_empty() && !is_extended {
@@ -244,12 +250,14 @@
         let (losses, rest) = postcard::take_from_bytes(rest).map_err(invalid)?;
         progress.losses = losses;
         if !rest.is_empty() {
-            // A zero byte is the encoding of `is_excess` for an entitled job, and is ignored behind one that is present.
-            let padded: Vec<u8> = rest.iter().copied().chain([0]).collect();
+            // Zero bytes are the encoding of `is_excess` for an entitled job and of empty `earlier_orders`, and are ignored
+            // behind fields that are present.
+            let padded: Vec<u8> = rest.iter().copied().chain([0, 0]).collect();
             let extension: ProgressExtension = postcard::from_bytes(&padded).map_err(invalid)?;
             progress.displaced = extension.displaced;
             progress.workspace = extension.workspace;
             progress.is_excess = extension.is_excess;
+            progress.earlier_orders = extension.earlier_orders;
         }
     }
     Ok(progress)
--- a/yuccahoist/tests/shard/records.rs
+++ b/yuccahoist/tests/shard/records.rs
@@ -1,9 +1,10 @@
 //! Encoding of the store's records, and decoding of invalid ones.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use yuccahoist::shard::lease::EarlierOrders;
 use yuccahoist::shard::loss::Loss;
 use yuccahoist::shard::record::{
     DisplacedRun, Entry, JobState, Ownership, Progress, Record, RecordError, TaskLoss, TaskProgress,
@@ -46,6 +47,7 @@
         workspace: None,
         displaced: Vec::new(),
         is_excess: false,
+        earlier_orders: BTreeMap::new(),
     };
     let task = StepKey { job: JobKey(5), occurrence: 1, step: 2 }.task(3);
     let displaced = DisplacedRun::new(task, 4, &WorkerIncarnation::new("i-2", 9));
@@ -58,11 +60,13 @@
     let ended = Progress { workspace: Some(workspace.clone()), ..Progress::default() };
     let ended_with_losses = Progress { workspace: Some(workspace.clone()), ..progress.clone() };
     let in_workspace = JobSpec { workspace: Some(workspace), ..super::cluster::spec(2, 1_000) };
+    let extended = BTreeMap::from([(0, EarlierOrders::Pending)]);
     let records = [
         Record::Owner(owner),
         Record::Job(JobKey(5), super::cluster::spec(2, 1_000).into()),
         Record::Job(JobKey(6), in_workspace.into()),
         Record::Progress(JobKey(8), Progress { is_excess: true, ..progress.clone() }),
+        Record::Progress(JobKey(9), Progress { earlier_orders: extended, ..progress.clone() }),
         Record::Progress(JobKey(5), progress),
         Record::Progress(JobKey(6), ended),
         Record::Progress(JobKey(7), ended_with_losses),
