--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -393,7 +393,7 @@
         }
         let mut batch = std::mem::take(&mut self.batch);
         batch.progress.append(&mut self.begun);
-        let entries = self.encode_batch(&batch);
+        let entries = self.encode_batch(now, &batch);
         self.last_flush = now;
         self.in_flight = Some((batch, now));
         self.actions.push(Action::Append(entries));
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -178,6 +178,9 @@
                         let worker =
                             self.workers.entry(placement.incarnation.clone()).or_insert_with(placeholder);
                         worker.unlisted_since = Some(now);
+                        if let Some(orders) = stored.placement.and_then(|p| progress.earlier_orders.get(&p)) {
+                            worker.lease.inherit_orders(*orders, now, self.options.max_lease);
+                        }
                         let (run, workspace) = (placement.run, workspace.clone());
                         worker.reserve(task_key, run, resources, counted, workspace, Some(now));
                         job.active_runs += 1;
