Let restarted workers of the stand-in execute the calls that waited for them

The platform keeps the connections to a worker that starts again under its id, and calls that arrive meanwhile are executed by the next incarnation. The stand-in reset each connection to a worker that is down, so no test on real processes could play this.

Fleet::darken crashes a worker whose calls wait; a call is executed even if its caller has gone. Without it nothing changes. The longest lease is a setting of the fleet. Overlapping runs of a task are recorded with the fencing tokens that ordered them and with their duration, so that a test can tell whether the owner changed in between.

--- a/yuccahoist_standins/src/platform/fleet.rs
+++ b/yuccahoist_standins/src/platform/fleet.rs
@@ -11,6 +11,7 @@
 
 use self::caps::CapHistory;
 pub use self::caps::{CapTable, WorkspaceCap};
+pub use self::overlap::{Overlap, TaskRun};
 pub use self::worker::WorkerSpec;
 use self::worker::{Run, Worker};
 use super::order::{HoldOrder, OrderRefusal, PaceOrder, StartOrder, Step, StopOrder, job_and_step, step_id};
@@ -18,13 +19,14 @@
 mod caps;
 mod check;
 mod gang;
+mod overlap;
 mod view;
 mod worker;
 
 /// Time from a stop order to the end of the run.
 const STOP_DURATION_MS: u64 = 300;
-/// Longest lease that an order can grant.
-const MAX_LEASE_MS: u64 = 10_000;
+/// Longest lease that an order can grant, unless it is set.
+const DEFAULT_MAX_LEASE_MS: u64 = 10_000;
 /// Speed of the slowest worker clock, percent of real time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// Share of workers that a step with recommendations may run on, percent.
@@ -72,6 +74,8 @@
     jobs: BTreeMap<String, Job>,
     faults: FleetFaults,
     rng: StdRng,
+    /// Longest lease that an order can grant, milliseconds.
+    max_lease: u64,
     now: u64,
     /// Time 0 in Unix milliseconds.
     wall: u64,
@@ -94,6 +98,8 @@
     last_delayed_order: u64,
     caps: CapHistory,
     start_count: u64,
+    /// Runs of a task that were active at once.
+    overlaps: Vec<Overlap>,
     violations: Vec<String>,
 }
 
@@ -113,6 +119,7 @@
             jobs: BTreeMap::new(),
             faults: FleetFaults::default(),
             rng,
+            max_lease: DEFAULT_MAX_LEASE_MS,
             now: 0,
             wall,
             last_starts: BTreeMap::new(),
@@ -126,6 +133,7 @@
             last_delayed_order: 0,
             caps: CapHistory::default(),
             start_count: 0,
+            overlaps: Vec::new(),
             violations: Vec::new(),
         }
     }
@@ -218,6 +226,14 @@
         }
     }
 
+    /// Crashes a worker whose connections stay open: calls wait for its next incarnation, which executes them.
+    pub fn darken(&mut self, id: &str) {
+        self.crash(id);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_dark = true;
+        }
+    }
+
     /// Starts a new incarnation of a worker, without any state of the previous one.
     pub fn restart(&mut self, id: &str) {
         let (now, wall) = (self.now, self.wall);
@@ -228,6 +244,11 @@
         }
     }
 
+    /// Sets the longest lease that an order can grant, milliseconds.
+    pub const fn set_max_lease(&mut self, max_lease: u64) {
+        self.max_lease = max_lease;
+    }
+
     /// Makes the present incarnations of all workers older, milliseconds; their clocks show as much more.
     pub fn age_workers(&mut self, age: u64) {
         for worker in self.workers.values_mut() {
@@ -301,6 +322,7 @@
             }
         }
         self.advance_gangs();
+        self.end_overlaps();
     }
 
     /// Extends the lease of a worker and removes the ends that the order acknowledges.
@@ -315,7 +337,7 @@
             return Err(OrderRefusal::Fenced);
         }
         worker.highest_token = order.fencing_token;
-        let expiry = order.deadline_ms.unwrap_or_default().min(worker.clock(now) + MAX_LEASE_MS);
+        let expiry = order.deadline_ms.unwrap_or_default().min(worker.clock(now) + self.max_lease);
         worker.lease_expiry = worker.lease_expiry.max(expiry);
         let (last_seen, last_voided) = (order.last_seen, worker.last_voided);
         let (acknowledged, pending): (Vec<_>, Vec<_>) =
@@ -385,11 +407,11 @@
         let key = (order.task_id.clone(), order.run_id);
         let (clock, started_at) = (worker.clock(now), worker.started_at);
         if worker.runs.contains_key(&key) {
-            worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + MAX_LEASE_MS));
+            worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + self.max_lease));
             return Ok(clock);
         }
         if worker.highest_runs.get(&order.task_id).is_some_and(|highest| order.run_id <= *highest) {
-            worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + MAX_LEASE_MS));
+            worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + self.max_lease));
             return Err(OrderRefusal::Old);
         }
         if order.deadline_ms <= clock {
@@ -409,10 +431,14 @@
         }
         self.check_caps(&order.task_id, &spec, received);
         self.start_count += 1;
+        if !spec.speculative {
+            self.record_overlaps(id, order);
+        }
         self.last_starts.insert(order.task_id.clone(), now);
         let fails = self.faults.failed_runs > 0.0 && self.rng.random_bool(self.faults.failed_runs);
         let saved_ms = u64::from_str_radix(&order.last_checkpoint, 16).unwrap_or_default();
         let run = Run {
+            fencing_token: order.fencing_token,
             started_at: now,
             ends_at: if spec.long_running {
                 u64::MAX
@@ -429,7 +455,7 @@
             tail_target: Some(spec.target_ms).filter(|target| *target > 0),
         };
         let Some(worker) = self.workers.get_mut(id) else { return Err(OrderRefusal::Invalid) };
-        worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + MAX_LEASE_MS));
+        worker.lease_expiry = worker.lease_expiry.max(order.deadline_ms.min(clock + self.max_lease));
         worker.runs.insert(key, run);
         Ok(clock)
     }
--- a/yuccahoist_standins/src/platform/fleet/view.rs
+++ b/yuccahoist_standins/src/platform/fleet/view.rs
@@ -34,6 +34,12 @@
         self.workers.get(id).is_some_and(|w| w.is_up)
     }
 
+    /// Whether a worker is down and calls wait for its next incarnation.
+    #[must_use]
+    pub fn is_dark(&self, id: &str) -> bool {
+        self.workers.get(id).is_some_and(|w| !w.is_up && w.is_dark)
+    }
+
     /// Returns the current answer to a hold order; `None` for an unknown worker.
     #[must_use]
     pub fn report(&self, id: &str) -> Option<HoldReply> {
--- a/yuccahoist_standins/src/platform/fleet/worker.rs
+++ b/yuccahoist_standins/src/platform/fleet/worker.rs
@@ -22,6 +22,8 @@
 
 #[derive(Debug, Clone)]
 pub(super) struct Run {
+    /// Fencing token of the order that started the run.
+    pub(super) fencing_token: u64,
     pub(super) started_at: u64,
     /// Time at which the work is done, or at which a stop takes effect.
     pub(super) ends_at: u64,
@@ -52,6 +54,8 @@
     /// Time from the end of the lease until its timer fires, milliseconds.
     pub(super) timer_delay: u64,
     pub(super) is_up: bool,
+    /// Whether calls wait for the next incarnation while the worker is down.
+    pub(super) is_dark: bool,
     /// Whether the registry still shows the worker; a worker that leaves removes its entry before or after its runs end.
     pub(super) is_registered: bool,
     /// Until when a draining worker serves; `None` for one that does not drain.
@@ -79,6 +83,7 @@
             clock_percent,
             timer_delay: 0,
             is_up: true,
+            is_dark: false,
             is_registered: true,
             drain_end: None,
             highest_token: 0,
--- a/yuccahoist_standins/src/platform/mod.rs
+++ b/yuccahoist_standins/src/platform/mod.rs
@@ -8,7 +8,7 @@
 mod proxy;
 mod serve;
 
-pub use self::fleet::{CapTable, Fleet, FleetFaults, Submission, WorkerSpec, WorkspaceCap};
+pub use self::fleet::{CapTable, Fleet, FleetFaults, Overlap, Submission, TaskRun, WorkerSpec, WorkspaceCap};
 pub use self::log::{Appended, KeyedLog, LogFailure, NewestPage, Position, StoreFaults, Unavailability};
 pub use self::order::{EndedRow, HoldOrder, HoldReply, OrderRefusal, PaceOrder, StartOrder, Step, StopOrder};
 pub use self::proxy::{Proxy, ProxyFault};
--- a/yuccahoist_standins/src/platform/serve.rs
+++ b/yuccahoist_standins/src/platform/serve.rs
@@ -200,7 +200,11 @@
     if let Err(refusal) = execute_order(&fleet, &id, move |f| f.hold(&name, &order)).await {
         return refusal_answer(&fleet, &id, refusal);
     }
-    while Instant::now() < until && !with_fleet(&fleet, |f| f.has_end_after(&id, last_seen)) {
+    let is_waiting = |f: &mut Fleet| {
+        // The next incarnation answers a call that the end of a dark worker has interrupted.
+        f.is_dark(&id) || Instant::now() < until && !f.has_end_after(&id, last_seen)
+    };
+    while with_fleet(&fleet, is_waiting) {
         sleep(END_POLL_INTERVAL).await;
     }
     let reply = with_fleet(&fleet, |f| {
@@ -214,7 +218,51 @@
     }
 }
 
-/// Serves a worker until the future is dropped. While the worker is down, every connection breaks.
+async fn execute_call(
+    fleet: SharedFleet,
+    id: String,
+    expected_id: Option<String>,
+    path: warp::path::FullPath,
+    body: Bytes,
+) -> Response {
+    if !with_fleet(&fleet, |f| f.is_up(&id)) {
+        return reset();
+    }
+    if expected_id.is_some_and(|expected| expected != id) {
+        return answer(StatusCode::MISDIRECTED_REQUEST, &json!({}));
+    }
+    let invalid =
+        |error: serde_json::Error| answer(StatusCode::BAD_REQUEST, &json!({ "error": error.to_string() }));
+    match path.as_str() {
+        "/run-start" => match serde_json::from_slice(&body) {
+            Ok(order) => start_run(fleet, id, order).await,
+            Err(error) => invalid(error),
+        },
+        "/run-stop" => match serde_json::from_slice(&body) {
+            Ok(order) => stop_run(fleet, id, order).await,
+            Err(error) => invalid(error),
+        },
+        "/pace" => match serde_json::from_slice(&body) {
+            Ok(order) => set_pace(&fleet, &id, &order),
+            Err(error) => invalid(error),
+        },
+        "/hold" => match serde_json::from_slice(&body) {
+            Ok(order) => hold_lease(fleet, id, order).await,
+            Err(error) => invalid(error),
+        },
+        _ => answer(StatusCode::NOT_FOUND, &json!({})),
+    }
+}
+
+/// Waits until a worker is no longer dark.
+async fn wait_for_light(fleet: &SharedFleet, id: &str) {
+    while with_fleet(fleet, |f| f.is_dark(id)) {
+        sleep(END_POLL_INTERVAL).await;
+    }
+}
+
+/// Serves a worker until the future is dropped. While the worker is down, every connection breaks, unless the worker is
+/// dark: then calls wait for its next incarnation.
 pub async fn serve_worker(listener: TcpListener, id: String, fleet: SharedFleet) {
     let state = warp::any().map(move || (fleet.clone(), id.clone()));
     let expected_id = warp::header::optional::<String>("Expected-Instance");
@@ -224,34 +272,15 @@
                expected_id: Option<String>,
                path: warp::path::FullPath,
                body: Bytes| {
-            if !with_fleet(&fleet, |f| f.is_up(&id)) {
-                return reset();
-            }
-            if expected_id.is_some_and(|expected| expected != id) {
-                return answer(StatusCode::MISDIRECTED_REQUEST, &json!({}));
-            }
-            let invalid = |error: serde_json::Error| {
-                answer(StatusCode::BAD_REQUEST, &json!({ "error": error.to_string() }))
-            };
-            match path.as_str() {
-                "/run-start" => match serde_json::from_slice(&body) {
-                    Ok(order) => start_run(fleet, id, order).await,
-                    Err(error) => invalid(error),
-                },
-                "/run-stop" => match serde_json::from_slice(&body) {
-                    Ok(order) => stop_run(fleet, id, order).await,
-                    Err(error) => invalid(error),
-                },
-                "/pace" => match serde_json::from_slice(&body) {
-                    Ok(order) => set_pace(&fleet, &id, &order),
-                    Err(error) => invalid(error),
-                },
-                "/hold" => match serde_json::from_slice(&body) {
-                    Ok(order) => hold_lease(fleet, id, order).await,
-                    Err(error) => invalid(error),
-                },
-                _ => answer(StatusCode::NOT_FOUND, &json!({})),
+            if !with_fleet(&fleet, |f| f.is_dark(&id)) {
+                return execute_call(fleet, id, expected_id, path, body).await;
             }
+            // A call that waits is executed even if its caller disconnects.
+            let call = tokio::spawn(async move {
+                wait_for_light(&fleet, &id).await;
+                execute_call(fleet, id, expected_id, path, body).await
+            });
+            call.await.unwrap_or_else(|_| reset())
         },
     );
     warp::serve(routes).incoming(listener).run().await;
