--- a/yuccahoist/tests/shard/interleavings.rs
+++ b/yuccahoist/tests/shard/interleavings.rs
@@ -86,6 +86,7 @@
     Fault { worker: usize, kind: CallKind, fault: CallFault },
     LoseAnswers { millis: u64, delay: u64 },
     Shrink { worker: usize },
+    StepClock { millis: i64 },
 }
 
 impl Event {
@@ -162,6 +163,25 @@
         Self { seed, registry_delay, max_lease, events }
     }
 
+    /// Draws the same with steps of the hosts' time of day, some before a change of owner, and more changes of owner.
+    fn draw_steps(seed: u64) -> Self {
+        let mut schedule = Self::draw_restarts(seed);
+        let rng = &mut ChaCha8Rng::seed_from_u64(!seed);
+        let changes: Vec<_> =
+            schedule.events.iter().filter(|(_, e)| matches!(e, Event::TakeOver { .. })).map(|(at, _)| *at).collect();
+        for at in changes {
+            let steps = [-30_000, 30_000, 30_000, 3_600_000];
+            let millis = steps[rng.random_range(0..steps.len())];
+            schedule.events.push((at.saturating_sub(rng.random_range(1..500)), Event::StepClock { millis }));
+            if rng.random_bool(0.4) {
+                let again = at + rng.random_range(50..3_000);
+                schedule.events.push((again, Event::TakeOver { write_lands: rng.random_bool(0.5) }));
+            }
+        }
+        schedule.events.sort_by_key(|(at, _)| *at);
+        schedule
+    }
+
     /// Drops events as long as the schedule fails without them.
     fn shrink(mut self) -> Self {
         let mut index = 0;
@@ -430,6 +450,7 @@
                 self.add(now + millis, Part::KeepAnswers);
             }
             Event::Shrink { worker } => cluster.resize_worker(worker, SHRUNK),
+            Event::StepClock { millis } => cluster.host_clock_error = millis,
         }
     }
 
@@ -538,6 +559,12 @@
     play_all(Schedule::draw_restarts);
 }
 
+/// The time of day told a new owner that a worker which had just restarted was old.
+#[test]
+fn steps_of_the_clock_around_restarts_break_no_rule() {
+    play_all(Schedule::draw_steps);
+}
+
 /// A late order to an earlier incarnation acknowledged an end, or started a run, which the next owner did not know of.
 #[test]
 fn late_orders_to_restarted_workers_are_known_to_the_next_owner() {
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -8,6 +8,7 @@
 mod configuration_exchange;
 mod deadly;
 mod decisions;
+mod earlier_orders;
 mod faults;
 mod freed;
 mod interference;
