--- a/yuccahoist/tests/shard/earlier_orders.rs
+++ b/yuccahoist/tests/shard/earlier_orders.rs
@@ -102,6 +102,55 @@
     });
 }
 
+/// The same, with a restarted worker whose entry the next owner never sees.
+#[test]
+fn late_extension_of_a_restart_that_is_never_registered() {
+    play_all([3_000, 6_000, 9_000].into_iter().flat_map(|late| [0, 30_000].map(|step| (late, step))), |(late, step)| {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+        cluster.advance_until_called(0);
+        cluster.submit(1, spec(TASKS, TASK_MS));
+        cluster.advance_until_ordered(1);
+        cluster.restart_unnoticed(0);
+        cluster.advance(20);
+        cluster.host_clock_error = step;
+        cluster.take_over(false);
+        cluster.unlist(0);
+        cluster.disconnect(0, late - 40, false);
+        cluster.advance(late - 15);
+        cluster.disconnect(0, 60_000, false);
+        cluster.advance(SETTLE_MS);
+    });
+}
+
+/// The mark is on an incarnation that restarts again before the next owner reaches it.
+#[test]
+fn mark_of_an_incarnation_holds_for_the_next_one() {
+    let cases = [2_000, 5_000, 8_000, 10_500].into_iter().flat_map(|late| {
+        [200, 700, 1_500].into_iter().flat_map(move |gap| [0, 30_000].map(|step| (late, gap, step)))
+    });
+    play_all(cases, |(late, gap, step)| {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+        cluster.advance_until_called(0);
+        cluster.restart_worker(0);
+        cluster.advance(gap);
+        cluster.submit(1, spec(TASKS, TASK_MS));
+        cluster.advance_until_ordered(1);
+        cluster.restart_worker(0);
+        cluster.advance(20);
+        cluster.host_clock_error = step;
+        cluster.take_over(true);
+        let left = late.saturating_sub(gap + 60);
+        cluster.disconnect(0, left, false);
+        cluster.advance(left + 25);
+        cluster.disconnect(0, 60_000, false);
+        cluster.advance(SETTLE_MS);
+    });
+}
+
 /// Cuts that begin before a new owner has reached any incarnation of a worker; short leases matter most.
 #[test]
 fn worker_that_restarts_again_under_the_next_owner() {
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -336,3 +336,45 @@
         assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "age {age} ms: tasks did not restart");
     }
 }
+
+/// The tasks of a worker that a new owner never reached waited for orders that only a younger worker could execute late.
+#[test]
+fn tasks_of_an_old_worker_wait_for_no_earlier_order_after_a_takeover() {
+    for age in [29_000, 40_000] {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.restart_worker(0);
+        cluster.advance(age - 1_000);
+        cluster.submit(1, spec(8, TASK_MS));
+        cluster.advance(1_000);
+        let runs = cluster.running_on(0);
+        assert!(runs > 0, "age {age} ms: no task runs on the worker");
+        cluster.disconnect(0, 60_000, false);
+        cluster.take_over(true);
+        cluster.advance(TAKEOVER_RESTART_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "age {age} ms: tasks did not restart");
+    }
+}
+
+/// The mark of a restart stays in records whose job is not written again.
+#[test]
+fn tasks_wait_for_no_earlier_order_across_several_takeovers() {
+    for gap in [3_000, 8_000, 12_000, 25_000] {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.restart_worker(0);
+        cluster.advance(500);
+        cluster.submit(1, spec(8, 200_000));
+        cluster.advance(1_000);
+        let runs = cluster.running_on(0);
+        assert!(runs > 0, "gap {gap} ms: no task runs on the worker");
+        for _ in 0..(40_000 / gap) {
+            cluster.take_over(true);
+            cluster.advance(gap);
+        }
+        cluster.disconnect(0, 60_000, false);
+        cluster.take_over(true);
+        cluster.advance(TAKEOVER_RESTART_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "gap {gap} ms: tasks did not restart");
+    }
+}
