--- a/yuccahoist/tests/shard/earlier_orders.rs
+++ b/yuccahoist/tests/shard/earlier_orders.rs
@@ -59,6 +59,28 @@
     });
 }
 
+/// The owner knew that an idle worker had restarted, but no job on it carried that to the next owner.
+#[test]
+fn idle_worker_whose_restart_the_owner_knew_and_a_step_of_the_clock() {
+    let cases = [0, -30_000, 30_000, 3_600_000].into_iter().flat_map(|step| {
+        [200, 1_000, 2_500].into_iter().flat_map(move |late| [300, 1_500].map(|gap| (step, late, gap)))
+    });
+    play_all(cases, |(step, late, gap)| {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+        cluster.advance_until_called(0);
+        cluster.restart_worker(0);
+        cluster.advance(late + gap);
+        cluster.host_clock_error = step;
+        cluster.take_over(true);
+        cluster.advance(50);
+        cluster.submit(1, spec(TASKS, TASK_MS));
+        cluster.advance(100);
+        check_cut(&mut cluster);
+    });
+}
+
 /// The second of three owners counted the longest lease by the age of a worker and stored no mark for the third one.
 #[test]
 fn longest_lease_by_the_age_of_a_worker_is_known_to_the_next_but_one_owner() {
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -359,6 +359,7 @@
 /// The mark of a restart stays in records whose job is not written again.
 #[test]
 fn tasks_wait_for_no_earlier_order_across_several_takeovers() {
+    let mut slow = Vec::new();
     for gap in [3_000, 8_000, 12_000, 25_000] {
         let mut cluster = SimulatedCluster::new(1, 3);
         cluster.advance(5_000);
@@ -374,7 +375,12 @@
         }
         cluster.disconnect(0, 60_000, false);
         cluster.take_over(true);
-        cluster.advance(TAKEOVER_RESTART_MS);
-        assert_eq!(cluster.starts[&JobKey(1)], 8 + runs, "gap {gap} ms: tasks did not restart");
+        let mut waited = 0;
+        while cluster.starts[&JobKey(1)] < 8 + runs && waited < 60_000 {
+            cluster.advance(10);
+            waited += 10;
+        }
+        slow.extend((waited > TAKEOVER_RESTART_MS).then_some((gap, waited)));
     }
+    assert!(slow.is_empty(), "gaps between owners and times until the tasks restarted, milliseconds: {slow:?}");
 }
