--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -336,6 +336,8 @@
     /// Errors of the times of day of the hosts and of the workers, milliseconds.
     pub host_clock_error: i64,
     pub worker_clock_error: i64,
+    /// Whether the next incarnation of a worker may have an earlier start time, as after a step of its time of day.
+    pub may_start_earlier: bool,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
     pub deadly: Option<DeadlyTasks>,
@@ -412,6 +414,7 @@
             now: Timestamp::from_millis(100_000),
             host_clock_error: 0,
             worker_clock_error: 0,
+            may_start_earlier: false,
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
             deadly: None,
@@ -609,7 +612,8 @@
         let Some(incarnation) = self.workers.keys().nth(number).cloned() else { return };
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
-        let started_at = self.wall(self.worker_clock_error).max(incarnation.started_at + 1);
+        let started_at = self.wall(self.worker_clock_error);
+        let started_at = if self.may_start_earlier { started_at } else { started_at.max(incarnation.started_at + 1) };
         let mut worker = Worker::new(id, started_at, self.now, 0);
         if let Some(previous) = previous {
             worker.entry.capacity = previous.entry.capacity;
--- a/yuccahoist/tests/shard/earlier_orders.rs
+++ b/yuccahoist/tests/shard/earlier_orders.rs
@@ -204,6 +204,41 @@
     });
 }
 
+/// The time of day of a worker's machine was stepped back, so that its next incarnation names an earlier start.
+#[test]
+fn next_incarnation_with_an_earlier_start_time_doubles_no_run() {
+    let cases = [0, -30_000].into_iter().flat_map(|step| {
+        [false, true].into_iter().flat_map(move |takes_over| [0u64, 50, 2_000].map(|late| (step, takes_over, late)))
+    });
+    play_all(cases, |(step, takes_over, late)| {
+        let mut cluster = SimulatedCluster::new(1, 3);
+        cluster.advance(5_000);
+        cluster.restart_worker(0);
+        cluster.advance(5_000);
+        cluster.may_start_earlier = step != 0;
+        cluster.worker_clock_error = step;
+        if late > 0 {
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+            cluster.advance_until_called(0);
+        }
+        cluster.submit(1, spec(TASKS, TASK_MS));
+        cluster.advance_until_ordered(1);
+        cluster.restart_worker(0);
+        cluster.advance(late + 500);
+        if takes_over {
+            cluster.take_over(true);
+            cluster.advance(50);
+        }
+        cluster.disconnect(0, 60_000, false);
+        cluster.advance(SETTLE_MS);
+        assert_eq!(
+            cluster.query_state(1),
+            Some(yuccahoist::shard::record::JobState::Completed),
+            "not completed"
+        );
+    });
+}
+
 /// A stop of the owner, a gang, speculative steps and cancelled jobs are no reason for the alarm.
 #[test]
 fn alarm_is_not_raised_without_an_overlap() {
