--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -613,7 +613,8 @@
         let previous = self.workers.remove(&incarnation);
         let id = incarnation.id.trim_start_matches('w').parse().expect("the id ends with a number");
         let started_at = self.wall(self.worker_clock_error);
-        let started_at = if self.may_start_earlier { started_at } else { started_at.max(incarnation.started_at + 1) };
+        let started_at =
+            if self.may_start_earlier { started_at } else { started_at.max(incarnation.started_at + 1) };
         let mut worker = Worker::new(id, started_at, self.now, 0);
         if let Some(previous) = previous {
             worker.entry.capacity = previous.entry.capacity;
--- a/yuccahoist/tests/shard/earlier_orders.rs
+++ b/yuccahoist/tests/shard/earlier_orders.rs
@@ -47,7 +47,8 @@
 /// An idle worker restarted just before the owner was killed, so no record named it, and the clock made it look old.
 #[test]
 fn idle_worker_that_restarted_before_a_kill_and_a_step_of_the_clock() {
-    let cases = [0, -30_000, 30_000, 3_600_000].into_iter().flat_map(|step| [50, 200, 550].map(|late| (step, late)));
+    let cases =
+        [0, -30_000, 30_000, 3_600_000].into_iter().flat_map(|step| [50, 200, 550].map(|late| (step, late)));
     play_all(cases, |(step, late)| {
         let mut cluster = unnoticed_restart(late);
         cluster.host_clock_error = step;
@@ -103,7 +104,9 @@
 fn late_extension_of_a_restart_that_no_record_names() {
     let cases = [3_000, 5_000, 7_000, 9_000, 10_000].into_iter().flat_map(|late| {
         [20, 60, 200, 400].into_iter().flat_map(move |kill| {
-            [true, false].into_iter().flat_map(move |is_noticed| [true, false].map(|lands| (late, kill, is_noticed, lands)))
+            [true, false]
+                .into_iter()
+                .flat_map(move |is_noticed| [true, false].map(|lands| (late, kill, is_noticed, lands)))
         })
     });
     play_all(cases, |(late, kill, is_noticed, lands)| {
@@ -113,7 +116,11 @@
         cluster.advance_until_called(0);
         cluster.submit(1, spec(TASKS, TASK_MS));
         cluster.advance_until_ordered(1);
-        if is_noticed { cluster.restart_worker(0) } else { cluster.restart_unnoticed(0) }
+        if is_noticed {
+            cluster.restart_worker(0)
+        } else {
+            cluster.restart_unnoticed(0)
+        }
         cluster.advance(kill);
         assert!(cluster.running_on(0) > 0, "no task runs on the worker");
         cluster.take_over(lands);
@@ -127,23 +134,26 @@
 /// The same, with a restarted worker whose entry the next owner never sees.
 #[test]
 fn late_extension_of_a_restart_that_is_never_registered() {
-    play_all([3_000, 6_000, 9_000].into_iter().flat_map(|late| [0, 30_000].map(|step| (late, step))), |(late, step)| {
-        let mut cluster = SimulatedCluster::new(1, 3);
-        cluster.advance(5_000);
-        cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
-        cluster.advance_until_called(0);
-        cluster.submit(1, spec(TASKS, TASK_MS));
-        cluster.advance_until_ordered(1);
-        cluster.restart_unnoticed(0);
-        cluster.advance(20);
-        cluster.host_clock_error = step;
-        cluster.take_over(false);
-        cluster.unlist(0);
-        cluster.disconnect(0, late - 40, false);
-        cluster.advance(late - 15);
-        cluster.disconnect(0, 60_000, false);
-        cluster.advance(SETTLE_MS);
-    });
+    play_all(
+        [3_000, 6_000, 9_000].into_iter().flat_map(|late| [0, 30_000].map(|step| (late, step))),
+        |(late, step)| {
+            let mut cluster = SimulatedCluster::new(1, 3);
+            cluster.advance(5_000);
+            cluster.fault_next_call(0, CallKind::ExtendLease, CallFault::ExecutedAfter(late));
+            cluster.advance_until_called(0);
+            cluster.submit(1, spec(TASKS, TASK_MS));
+            cluster.advance_until_ordered(1);
+            cluster.restart_unnoticed(0);
+            cluster.advance(20);
+            cluster.host_clock_error = step;
+            cluster.take_over(false);
+            cluster.unlist(0);
+            cluster.disconnect(0, late - 40, false);
+            cluster.advance(late - 15);
+            cluster.disconnect(0, 60_000, false);
+            cluster.advance(SETTLE_MS);
+        },
+    );
 }
 
 /// The mark is on an incarnation that restarts again before the next owner reaches it.
@@ -208,7 +218,9 @@
 #[test]
 fn next_incarnation_with_an_earlier_start_time_doubles_no_run() {
     let cases = [0, -30_000].into_iter().flat_map(|step| {
-        [false, true].into_iter().flat_map(move |takes_over| [0u64, 50, 2_000].map(|late| (step, takes_over, late)))
+        [false, true]
+            .into_iter()
+            .flat_map(move |takes_over| [0u64, 50, 2_000].map(|late| (step, takes_over, late)))
     });
     play_all(cases, |(step, takes_over, late)| {
         let mut cluster = SimulatedCluster::new(1, 3);
@@ -245,7 +257,9 @@
     let kinds = ["gang", "speculative", "cancelled", "preempted", "plain"];
     let cases = kinds.into_iter().flat_map(|kind| {
         [0, 5, 20, 100, 600].into_iter().flat_map(move |gap| {
-            [true, false].into_iter().flat_map(move |lands| [0u64, 300, 1_500, 5_000].map(|cut| (kind, gap, lands, cut)))
+            [true, false]
+                .into_iter()
+                .flat_map(move |lands| [0u64, 300, 1_500, 5_000].map(|cut| (kind, gap, lands, cut)))
         })
     });
     play_all(cases, |(kind, gap, lands, cut)| {
@@ -258,7 +272,10 @@
         cluster.advance(1_000);
         match kind {
             "cancelled" => {
-                cluster.call(1_001, yuccahoist::shard::message::Request::Cancel(yuccahoist::shard::JobKey(1), None));
+                cluster.call(
+                    1_001,
+                    yuccahoist::shard::message::Request::Cancel(yuccahoist::shard::JobKey(1), None),
+                );
             }
             "preempted" => {
                 let mut high = spec(TASKS + 4, 2_000);
--- a/yuccahoist/tests/shard/interleavings.rs
+++ b/yuccahoist/tests/shard/interleavings.rs
@@ -167,8 +167,12 @@
     fn draw_steps(seed: u64) -> Self {
         let mut schedule = Self::draw_restarts(seed);
         let rng = &mut ChaCha8Rng::seed_from_u64(!seed);
-        let changes: Vec<_> =
-            schedule.events.iter().filter(|(_, e)| matches!(e, Event::TakeOver { .. })).map(|(at, _)| *at).collect();
+        let changes: Vec<_> = schedule
+            .events
+            .iter()
+            .filter(|(_, e)| matches!(e, Event::TakeOver { .. }))
+            .map(|(at, _)| *at)
+            .collect();
         for at in changes {
             let steps = [-30_000, 30_000, 30_000, 3_600_000];
             let millis = steps[rng.random_range(0..steps.len())];
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -382,5 +382,8 @@
         }
         slow.extend((waited > TAKEOVER_RESTART_MS).then_some((gap, waited)));
     }
-    assert!(slow.is_empty(), "gaps between owners and times until the tasks restarted, milliseconds: {slow:?}");
+    assert!(
+        slow.is_empty(),
+        "gaps between owners and times until the tasks restarted, milliseconds: {slow:?}"
+    );
 }
