--- a/yuccahoist/tests/shard/earlier_orders.rs
+++ b/yuccahoist/tests/shard/earlier_orders.rs
@@ -82,7 +82,7 @@
     });
 }
 
-/// The second of three owners counted the longest lease by the age of a worker and stored no mark for the third one.
+/// The second of three owners counted the longest lease by the age of a worker and stored nothing of it for the third one.
 #[test]
 fn longest_lease_by_the_age_of_a_worker_is_known_to_the_next_but_one_owner() {
     let cases = [0, 30_000, 3_600_000].into_iter().flat_map(|step| [300, 1_500].map(|gap| (step, gap)));
@@ -117,9 +117,9 @@
         cluster.submit(1, spec(TASKS, TASK_MS));
         cluster.advance_until_ordered(1);
         if is_noticed {
-            cluster.restart_worker(0)
+            cluster.restart_worker(0);
         } else {
-            cluster.restart_unnoticed(0)
+            cluster.restart_unnoticed(0);
         }
         cluster.advance(kill);
         assert!(cluster.running_on(0) > 0, "no task runs on the worker");
@@ -156,9 +156,9 @@
     );
 }
 
-/// The mark is on an incarnation that restarts again before the next owner reaches it.
+/// The incarnation that the record names has restarted again before the next owner reaches it.
 #[test]
-fn mark_of_an_incarnation_holds_for_the_next_one() {
+fn order_known_for_an_incarnation_holds_for_the_next_one() {
     let cases = [2_000, 5_000, 8_000, 10_500].into_iter().flat_map(|late| {
         [200, 700, 1_500].into_iter().flat_map(move |gap| [0, 30_000].map(|step| (late, gap, step)))
     });
--- a/yuccahoist/tests/shard/interleavings.rs
+++ b/yuccahoist/tests/shard/interleavings.rs
@@ -581,25 +581,6 @@
 /// The record of a run named no order to the earlier incarnation of its worker, and the clock was stepped.
 #[test]
 fn restart_between_an_extension_and_a_kill_is_known_to_the_next_owner() {
-    if std::env::var_os("REVIEW_LOG").is_some() {
-        struct Print;
-        impl log::Log for Print {
-            fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-                true
-            }
-            fn log(&self, record: &log::Record<'_>) {
-                eprintln!("{}", record.args());
-            }
-            fn flush(&self) {}
-        }
-        let _ = log::set_logger(&Print);
-        log::set_max_level(log::LevelFilter::Info);
-    }
-    let schedule = if std::env::var_os("REVIEW_LOG").is_some() {
-        Schedule::draw_steps(11_285).shrink()
-    } else {
-        Schedule::draw_steps(11_285)
-    };
-    eprintln!("FINAL {schedule}");
+    let schedule = Schedule::draw_steps(11_285);
     schedule.play().unwrap_or_else(|cause| panic!("{cause}\n  {schedule}"));
 }
--- a/yuccahoist/tests/shard/leases.rs
+++ b/yuccahoist/tests/shard/leases.rs
@@ -356,7 +356,7 @@
     }
 }
 
-/// The mark of a restart stays in records whose job is not written again.
+/// An order to an earlier incarnation that can't be executed any more stayed in the records from owner to owner.
 #[test]
 fn tasks_wait_for_no_earlier_order_across_several_takeovers() {
     let mut slow = Vec::new();
