--- a/yuccahoist/src/shard/lease.rs
+++ b/yuccahoist/src/shard/lease.rs
@@ -52,7 +52,7 @@
 pub enum EarlierOrders {
     /// One may have extended the lease to the longest that the worker takes.
     Executed,
-    /// One may still do so.
+    /// One may have done so late, or may still do so.
     Pending,
 }
 
@@ -134,10 +134,10 @@
     inherited_until: Timestamp,
     /// Until when runs may be active by orders of this owner to an earlier incarnation of the worker.
     late_until: Timestamp,
-    /// Until when the lease may last by an order to an earlier incarnation of which this owner or a previous one knows.
-    longest_until: Timestamp,
+    /// Until when records tell the next owner of orders to an earlier incarnation.
+    recorded_until: Timestamp,
     /// What is known of such orders before the first report.
-    earlier_orders: Option<EarlierOrders>,
+    inherited_orders: Option<EarlierOrders>,
 }
 
 impl Lease {
@@ -149,8 +149,8 @@
             deadline: None,
             inherited_until,
             late_until: Timestamp::ZERO,
-            longest_until: Timestamp::ZERO,
-            earlier_orders: None,
+            recorded_until: Timestamp::ZERO,
+            inherited_orders: None,
         }
     }
 
@@ -223,13 +223,13 @@
     /// `longest`, the longest lease that the worker takes, since its deadline is on another clock.
     pub fn fence_inherited(&mut self, now: Timestamp, age: Duration, duration: Duration, longest: Duration) {
         let granted = self.inherited_until.min(now + max_grant(duration));
-        let is_known = self.earlier_orders.take().is_some();
+        let is_known = self.inherited_orders.take().is_some();
         let age = if is_known { Duration::ZERO } else { age };
         let since_order = age.saturating_sub(MAX_EARLIER_ORDER_AGE + MAX_CLOCK_OFFSET);
         let earlier = now + longest.div_f64(MIN_CLOCK_RATE).saturating_sub(since_order);
         self.inherited_until = granted.max(earlier);
         if is_known {
-            self.longest_until = self.longest_until.max(earlier);
+            self.recorded_until = self.recorded_until.max(earlier);
         }
     }
 
@@ -240,23 +240,23 @@
             EarlierOrders::Pending => late_expiry(last, longest),
         };
         self.inherited_until = self.inherited_until.max(until);
-        self.earlier_orders = self.earlier_orders.max(Some(orders));
+        self.inherited_orders = self.inherited_orders.max(Some(orders));
     }
 
-    /// Returns what the next owner has to know of orders to an earlier incarnation; `None` if none extends the lease.
+    /// Returns what the next owner has to know of orders to an earlier incarnation; `None` if the lease does not last by any.
     #[must_use]
     pub fn earlier_orders(&self, now: Timestamp) -> Option<EarlierOrders> {
         if now < self.late_until {
             return Some(EarlierOrders::Pending);
         }
-        self.earlier_orders.or_else(|| (now < self.longest_until).then_some(EarlierOrders::Executed))
+        self.inherited_orders.or_else(|| (now < self.recorded_until).then_some(EarlierOrders::Executed))
     }
 
-    /// Whether such orders were known until now and the lease does not last by them any more.
+    /// Forgets such orders once the lease does not last by them any more; returns whether it was now.
     pub fn end_earlier_orders(&mut self, now: Timestamp) -> bool {
-        let has_ended = self.longest_until != Timestamp::ZERO && self.longest_until <= now;
+        let has_ended = self.recorded_until != Timestamp::ZERO && self.recorded_until <= now;
         if has_ended {
-            self.longest_until = Timestamp::ZERO;
+            self.recorded_until = Timestamp::ZERO;
         }
         has_ended
     }
@@ -264,13 +264,13 @@
     /// Includes the lease of a later incarnation that has executed an order by `now`; it lasts `longest` at most.
     pub fn include_successor(&mut self, now: Timestamp, longest: Duration) {
         self.late_until = self.late_until.max(now + longest.div_f64(MIN_CLOCK_RATE));
-        self.longest_until = self.longest_until.max(self.late_until);
+        self.recorded_until = self.recorded_until.max(self.late_until);
     }
 
     /// Includes extensions by orders to an earlier incarnation, the last of which was sent at `last`. Such an order can be
     /// executed late, and its deadline is beyond `longest`, the longest lease that the worker takes.
     pub fn include_late_orders(&mut self, last: Timestamp, longest: Duration) {
         self.late_until = self.late_until.max(late_expiry(last, longest));
-        self.longest_until = self.longest_until.max(self.late_until);
+        self.recorded_until = self.recorded_until.max(self.late_until);
     }
 }
--- a/yuccahoist/src/shard/owner/restarts.rs
+++ b/yuccahoist/src/shard/owner/restarts.rs
@@ -126,8 +126,7 @@
         }
     }
 
-    /// Stores the jobs on the workers whose leases do not last any more by orders to an earlier incarnation; their records say
-    /// that they do.
+    /// Stores the jobs on workers whose leases do not last any more by orders to an earlier incarnation, without these orders.
     pub(super) fn forget_earlier_orders(&mut self, now: Timestamp) {
         for worker in self.workers.values_mut() {
             if worker.lease.end_earlier_orders(now) {
