Return a recommendation only to the owner that requested it

Cause: a host returned the answer of the recommendation service with the number of the call, on whichever connection to an owner was open by then. Each owner numbers its calls from the start, so the successor took it for the answer to its own call of that number, for another step. A log line now marks an answer whose owner, or connection, is gone. Change: a request is identified by the connection on which it came; an answer goes back on that one only. Why it works: the owner queues a call again when it loses the connection, so a dropped answer loses nothing. Weighed: numbers that rise across owners. The connection also covers a reconnection, and needs nothing from the previous owner.

--- a/yuccahoist/src/shard/host/mod.rs
+++ b/yuccahoist/src/shard/host/mod.rs
@@ -13,6 +13,7 @@
 pub mod write_timeouts;
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -137,8 +138,22 @@
 enum RequestOrigin {
     /// The owner on this host, in an epoch; with the number of the call.
     Local(Epoch, u64),
-    /// The owner on another host, with the number of the call there.
-    Peer(u64),
+    /// The owner on another host. Each owner numbers its calls from the start, so the number alone does not identify a call.
+    Peer {
+        /// Number of the connection to the owner on which the request arrived.
+        connection: u64,
+        /// Number of the call at the owner.
+        number: u64,
+    },
+}
+
+impl fmt::Display for RequestOrigin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Local(epoch, number) => write!(f, "local.{epoch}.{number}"),
+            Self::Peer { connection, number } => write!(f, "peer.{connection}.{number}"),
+        }
+    }
 }
 
 /// Handle to a running host.
--- a/yuccahoist/src/shard/host/owning.rs
+++ b/yuccahoist/src/shard/host/owning.rs
@@ -291,8 +291,7 @@
             RequestOrigin::Local(epoch, number) if epoch == self.epoch => {
                 self.complete_request(now, RequestHost::Local, number, tickets);
             }
-            RequestOrigin::Local(..) => {}
-            RequestOrigin::Peer(number) => {
+            RequestOrigin::Peer { connection, number } if connection == self.connection_id => {
                 if let Some(link) = &self.owner_link
                     && !link.sender.send(Frame::Recommended { number, tickets })
                 {
@@ -301,6 +300,10 @@
                     );
                 }
             }
+            // The owner has queued the call again when it lost the connection, or has ended.
+            RequestOrigin::Local(..) | RequestOrigin::Peer { .. } => {
+                log::info!(target: "decision", "advice origin={origin} epoch={} outcome=outdated", self.epoch);
+            }
         }
     }
 
--- a/yuccahoist/src/shard/host/relay.rs
+++ b/yuccahoist/src/shard/host/relay.rs
@@ -267,7 +267,7 @@
         match frame {
             Frame::Answer { number, answer } => self.reply(number, answer),
             Frame::RequestRecommendation { number, step, workers } => {
-                self.request_recommendation(RequestOrigin::Peer(number), step, workers);
+                self.request_recommendation(RequestOrigin::Peer { connection, number }, step, workers);
             }
             Frame::Pong { store: true, .. } => self.failed_campaigns = 0,
             // The owner can't write, so the condition of a claim holds, unless only the answers to its writes are lost.
--- a/yuccahoist/tests/shard/relay.rs
+++ b/yuccahoist/tests/shard/relay.rs
@@ -29,6 +29,8 @@
 const STEP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which a frame that was not sent will not be.
 const QUIET: Duration = Duration::from_millis(150);
+/// Duration of a call to the recommendation service; longer than a host takes to join a new owner.
+const REQUEST_DURATION: Duration = Duration::from_millis(300);
 
 /// Platform whose store announces owners and lets no host claim the shard.
 #[derive(Debug)]
@@ -93,8 +95,9 @@
 
 #[async_trait]
 impl RecommendationService for Platform {
-    async fn recommend(&self, _: StepKey, _: &[Arc<str>]) -> Option<Vec<Ticket>> {
-        None
+    async fn recommend(&self, step: StepKey, workers: &[Arc<str>]) -> Option<Vec<Ticket>> {
+        tokio::time::sleep(REQUEST_DURATION).await;
+        Some(workers.iter().map(|id| (id.clone(), step.to_string())).collect())
     }
 }
 
@@ -115,6 +118,7 @@
 
 /// Owner that the test plays, as the host has joined it.
 struct PlayedOwner {
+    listener: TcpListener,
     reader: FrameReader,
     sender: FrameSender,
 }
@@ -157,21 +161,58 @@
             Ownership { epoch: Epoch(epoch), address: address.to_string(), host: format!("owner-{epoch}") };
         let announcement = Announcement { ownership, released: false };
         self.announcements.send(announcement).expect("the host reads announcements");
+        PlayedOwner::accept(listener).await
+    }
+}
+
+impl PlayedOwner {
+    /// Lets a host join that connects.
+    async fn accept(listener: TcpListener) -> Self {
         let accepted = timeout(STEP_TIMEOUT, listener.accept()).await.expect("the host connects in time");
         let (reader, sender) = split(accepted.expect("connection accepted").0);
-        let mut owner = PlayedOwner { reader, sender };
+        let mut owner = Self { listener, reader, sender };
         assert_matches!(owner.next().await, Some(Frame::Hello { .. }));
         assert!(owner.sender.send(Frame::Hosts(Vec::new())));
         owner
     }
-}
 
-impl PlayedOwner {
-    /// Returns the next frame that is neither a ping nor about the configuration; `None` after a quiet time.
+    /// Closes the connection, and lets the host join again.
+    async fn reconnect(self) -> Self {
+        let Self { listener, reader, sender } = self;
+        drop((reader, sender));
+        Self::accept(listener).await
+    }
+
+    /// Sends a request for a recommendation of one worker for `step`.
+    fn request_recommendation(&self, number: u64, step: StepKey) {
+        let frame = Frame::RequestRecommendation { number, step, workers: vec!["w0".into()] };
+        assert!(self.sender.send(frame));
+    }
+
+    /// Returns the numbers and tickets of the recommendations that arrive within `wait`.
+    async fn recommendations(&mut self, wait: Duration) -> Vec<(u64, String)> {
+        let mut received = Vec::new();
+        let end = tokio::time::Instant::now() + wait;
+        while tokio::time::Instant::now() < end {
+            match self.next().await {
+                Some(Frame::Recommended { number, tickets }) => {
+                    let tickets = tickets.expect("the service answers").into_iter();
+                    received.extend(tickets.map(|(_, ticket)| (number, ticket)));
+                }
+                None => {}
+                Some(other) => panic!("unexpected frame {other:?}"),
+            }
+        }
+        received
+    }
+
+    /// Returns the next frame that is neither a ping, which is answered, nor about the configuration; `None` after a quiet
+    /// time.
     async fn next(&mut self) -> Option<Frame> {
         loop {
             match timeout(QUIET, self.reader.next()).await.ok()?.expect("valid frame")? {
-                Frame::Ping | Frame::ConfigurationVersion(_) => {}
+                Frame::Ping => assert!(self.sender.send(Frame::Pong { epoch: Epoch(0), store: true })),
+                Frame::ConfigurationVersion(_) => {}
                 frame => return Some(frame),
             }
         }
@@ -253,3 +294,35 @@
         assert_eq!(owner.next_call().await.is_some(), is_sent);
     }
 }
+
+/// The answer to a call of a killed owner reached its successor, which took it for that to its own call of the same number:
+/// a step got the recommendations of another one, and never ran.
+#[tokio::test]
+async fn recommendation_for_a_previous_owner_does_not_reach_the_next() {
+    struct Case {
+        name: &'static str,
+        /// Epoch of the next owner; the same owner, on a new connection, if it is 1.
+        next_epoch: u64,
+        /// Number of the call of the next owner; that of the first owner is 1.
+        number: u64,
+    }
+    let cases = [
+        Case { name: "same number at the next owner", next_epoch: 2, number: 1 },
+        Case { name: "other number at the next owner", next_epoch: 2, number: 2 },
+        Case { name: "next but one epoch", next_epoch: 3, number: 1 },
+        Case { name: "new connection to the same owner", next_epoch: 1, number: 1 },
+    ];
+    let step = |job| StepKey { job: JobKey(job), occurrence: 0, step: 0 };
+    for case in cases {
+        let fixture = Fixture::start().await;
+        let first = fixture.join(1).await;
+        first.request_recommendation(1, step(1));
+        // The request has to arrive before the connection ends.
+        tokio::time::sleep(QUIET).await;
+        let mut next =
+            if case.next_epoch == 1 { first.reconnect().await } else { fixture.join(case.next_epoch).await };
+        next.request_recommendation(case.number, step(2));
+        let received = next.recommendations(REQUEST_DURATION * 3).await;
+        assert_eq!(received, [(case.number, step(2).to_string())], "{}", case.name);
+    }
+}
