Withdraw recommended workers that may not run a step, and ask about all of them again

Cause: nothing took a worker out of a step's recommendations. An answer that left it out changed nothing, and as long as such a worker had room, only its ticket was requested again. A step whose workers had all been asked about was never asked about again, also when none of them had been recommended. Change: the newest answer on a worker counts. Two refused tickets in a row withdraw it as well. A step that can't be placed with all workers asked about begins another round after 0.25 s, then twice as long, at most 1.5 s; on a busy fleet only if no usable worker is recommended, since its calls would delay those of other steps. Log lines and two metrics show both. Why it works: a worker that may not run the step leaves its recommendations with the next answer or the second refusal, and each other one is asked about within 3 s, the time for which a job that could run may have nothing running.

--- a/yuccahoist/src/shard/job.rs
+++ b/yuccahoist/src/shard/job.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::id::{TaskKey, WorkerIncarnation};
 use super::learning::DoneTask;
@@ -76,13 +77,28 @@
     pub placement: Option<Placement>,
 }
 
+/// Ticket for the tasks of a step on a recommended worker.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// Ticket as the recommendation service issued it.
+    pub text: String,
+    /// Time from which it is not used any more.
+    pub until: Timestamp,
+    /// Number of tickets for the worker that it has refused since it last accepted one.
+    pub refusals: u32,
+}
+
 /// Recommendation for a step: the workers that may run it, with their tickets.
 #[derive(Debug, Clone, Default)]
 pub struct Tickets {
-    /// Recommended workers, each with a ticket and the time at which it expires.
-    pub recommended: BTreeMap<WorkerIncarnation, (String, Timestamp)>,
-    /// Workers that a recommendation request has named.
+    /// Recommended workers.
+    pub recommended: BTreeMap<WorkerIncarnation, Ticket>,
+    /// Workers that a recommendation request of this round has named. The next round names all workers again.
     pub requested: BTreeSet<WorkerIncarnation>,
+    /// Number of rounds that have ended without enough workers.
+    pub rounds: u32,
+    /// Earliest time of the next round.
+    pub next_round: Timestamp,
     /// Whether a request is pending or in flight.
     pub pending: bool,
     /// When the first recommendation was requested, until a worker is recommended.
@@ -91,6 +107,49 @@
     pub next_request: Timestamp,
 }
 
+/// Delay before the second round of requests; doubled for each later one.
+const MIN_ROUND_DELAY: Duration = Duration::from_millis(250);
+/// Longest delay between rounds. A job that could run may have nothing running for 3 s, and a call takes about 1 s.
+const MAX_ROUND_DELAY: Duration = Duration::from_millis(1_500);
+
+impl Tickets {
+    /// Takes over the answer to a request for `requested`: the recommended ones get tickets that are used until `until`, and the
+    /// others are not recommended any more. Returns the number of those that were.
+    pub fn answer(
+        &mut self,
+        until: Timestamp,
+        requested: Vec<WorkerIncarnation>,
+        recommended: Vec<(Arc<str>, String)>,
+    ) -> u64 {
+        if !recommended.is_empty() {
+            self.first_since = None;
+        }
+        let mut texts: BTreeMap<Arc<str>, String> = recommended.into_iter().collect();
+        let mut withdrawn = 0;
+        for incarnation in requested {
+            let previous = self.recommended.remove(&incarnation);
+            if let Some(text) = texts.remove(&incarnation.id) {
+                let refusals = previous.map_or(0, |t| t.refusals);
+                self.recommended.insert(incarnation.clone(), Ticket { text, until, refusals });
+            } else {
+                withdrawn += u64::from(previous.is_some());
+            }
+            self.requested.insert(incarnation);
+        }
+        withdrawn
+    }
+
+    /// Begins the next round of requests, which names all workers again that are not recommended.
+    pub fn begin_round(&mut self, now: Timestamp) {
+        let delay = MIN_ROUND_DELAY.saturating_mul(1 << self.rounds.min(8)).min(MAX_ROUND_DELAY);
+        self.rounds += 1;
+        self.next_round = now + delay;
+        self.first_since = None;
+        let recommended = &self.recommended;
+        self.requested.retain(|incarnation| recommended.contains_key(incarnation));
+    }
+}
+
 /// State of a step of one occurrence.
 #[derive(Debug, Clone, Default)]
 pub struct Step {
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -203,6 +203,10 @@
     pub first_requests: u64,
     /// Requests for new tickets of recommended workers.
     pub renewal_requests: u64,
+    /// Rounds of requests that named all workers again, for steps that could not be placed.
+    pub recommendation_rounds: u64,
+    /// Recommendations of workers that a later answer, or the worker itself, did not confirm.
+    pub withdrawn_recommendations: u64,
     /// Longest time from the request for a step without a recommended worker to its call, milliseconds.
     pub longest_first_wait: u64,
     /// Pairs of kinds of which one is known to slow down the other.
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -111,11 +111,10 @@
         };
         let incarnation = placement.incarnation.clone();
         let ticket = step.tickets.recommended.get(&incarnation);
-        let ticket_missing =
-            job.spec.queue.recommendation.is_some() && ticket.is_none_or(|(_, until)| *until <= now);
+        let ticket_missing = job.spec.queue.recommendation.is_some() && ticket.is_none_or(|t| t.until <= now);
         let validity = job.spec.queue.recommendation.map(|cost| Self::ticket_validity(&cost));
-        let ticketed_at = ticket.zip(validity).map(|((_, until), validity)| *until - validity);
-        let ticket = ticket.map(|(ticket, _)| ticket.clone());
+        let ticketed_at = ticket.zip(validity).map(|(t, validity)| t.until - validity);
+        let ticket = ticket.map(|t| t.text.clone());
         let worker = self.workers.get_mut(&incarnation);
         let deadline = worker
             .filter(|w| w.is_usable(now) && !w.is_overloaded())
--- a/yuccahoist/src/shard/owner/preempt.rs
+++ b/yuccahoist/src/shard/owner/preempt.rs
@@ -168,7 +168,7 @@
         };
         let tickets = &job.occurrences[key.occurrence as usize][key.step as usize].tickets;
         let needs_renewal = |incarnation: &&WorkerIncarnation| {
-            tickets.recommended.get(*incarnation).is_none_or(|(_, until)| *until < now + MIN_TICKET_VALIDITY)
+            tickets.recommended.get(*incarnation).is_none_or(|t| t.until < now + MIN_TICKET_VALIDITY)
         };
         if incarnations.iter().any(|incarnation| needs_renewal(&incarnation)) {
             self.request_tickets(now, key, incarnations.to_vec(), Vec::new());
--- a/yuccahoist/src/shard/owner/recommendations.rs
+++ b/yuccahoist/src/shard/owner/recommendations.rs
@@ -45,6 +45,8 @@
 const MAX_PENDING_REQUESTS: usize = 512;
 /// Delay before a failed request is repeated; less than one request of the slowest queue.
 const REQUEST_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Number of refused tickets in a row after which a worker is no longer recommended; one may have expired on its way.
+const MAX_TICKET_REFUSALS: u32 = 2;
 
 impl Owner {
     /// Returns whether a ticket that expires at `until` is valid long enough for a start that is decided now.
@@ -227,25 +229,36 @@
             log::info!(target: "decision", "advice step={key} outcome=unanswered workers={}", requested.len());
             return;
         };
-        log::info!(target: "decision", "advice step={key} workers={} good={} kind={kind} wait_ms={wait_ms}", requested.len(), recommended.len());
-        if !recommended.is_empty() {
-            tickets.first_since = None;
-        }
-        let until = now + Self::ticket_validity(&cost);
-        for (id, ticket) in recommended {
-            if let Some(incarnation) = requested.iter().find(|i| i.id == id) {
-                tickets.recommended.insert(incarnation.clone(), (ticket, until));
-            }
-        }
-        tickets.requested.extend(requested);
+        let named = requested.len();
+        let good = recommended.len();
+        let withdrawn = tickets.answer(now + Self::ticket_validity(&cost), requested, recommended);
+        log::info!(
+            target: "decision",
+            "advice step={key} workers={named} good={good} withdrawn={withdrawn} kind={kind} wait_ms={wait_ms}"
+        );
+        self.counters.withdrawn_recommendations += withdrawn;
     }
 
-    /// Marks a ticket as expired after its worker has refused it.
+    /// Marks a ticket as expired after its worker has refused it. After several tickets the worker is no longer recommended.
     pub(super) fn expire_ticket(&mut self, key: StepKey, incarnation: &WorkerIncarnation) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let tickets = &mut job.occurrences[key.occurrence as usize][key.step as usize].tickets;
-        if let Some((_, until)) = tickets.recommended.get_mut(incarnation) {
-            *until = Timestamp::ZERO;
+        let Some(ticket) = tickets.recommended.get_mut(incarnation) else { return };
+        ticket.until = Timestamp::ZERO;
+        ticket.refusals += 1;
+        if ticket.refusals >= MAX_TICKET_REFUSALS {
+            log::info!(target: "decision", "advice step={key} worker={incarnation} outcome=withdrawn refusals={}", ticket.refusals);
+            tickets.recommended.remove(incarnation);
+            self.counters.withdrawn_recommendations += 1;
+        }
+    }
+
+    /// Records that a worker has accepted its ticket.
+    pub(super) fn accept_ticket(&mut self, key: StepKey, incarnation: &WorkerIncarnation) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let tickets = &mut job.occurrences[key.occurrence as usize][key.step as usize].tickets;
+        if let Some(ticket) = tickets.recommended.get_mut(incarnation) {
+            ticket.refusals = 0;
         }
     }
 }
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -54,6 +54,7 @@
                 if let Some(worker) = self.workers.get_mut(incarnation) {
                     worker.confirm_start(task, run);
                 }
+                self.accept_ticket(task.step, incarnation);
                 self.mark_running(task.step.job);
                 self.pace_started_filler(now, task, run, incarnation);
                 return;
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -322,16 +322,49 @@
             (0..candidates.list.len()).for_each(|index| consider(index, true));
             return options;
         }
-        for (incarnation, (_, until)) in &step.tickets.recommended {
+        for (incarnation, ticket) in &step.tickets.recommended {
             if let Some(index) = candidates.index.get(incarnation) {
-                consider(*index, Self::ticket_usable(now, *until));
+                consider(*index, Self::ticket_usable(now, ticket.until));
             }
         }
         options
     }
 
-    /// Returns the workers that could run a step and are in none of its recommendation requests, those with most free
-    /// processors first.
+    /// Begins the next round of recommendation requests for a step that can't be placed although all workers have been named,
+    /// since the answers may have changed or been wrong; returns whether it has begun.
+    ///
+    /// On a busy fleet a step with recommended workers waits for room on them instead.
+    fn begin_request_round(&mut self, now: Timestamp, key: StepKey, candidates: &Candidates) -> bool {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return false };
+        let step_spec = &job.spec.steps[key.step as usize];
+        let tickets = &mut job.occurrences[key.occurrence as usize][key.step as usize].tickets;
+        if now < tickets.next_round || tickets.requested.is_empty() {
+            return false;
+        }
+        let eligible =
+            || candidates.list.iter().filter(|c| is_eligible(c, &job.spec.queue.service, step_spec));
+        let is_recommended = |c: &Candidate| tickets.recommended.contains_key(&c.incarnation);
+        if !eligible().any(|c| !is_recommended(c) && step_spec.reserved().fits(c.free)) {
+            return false;
+        }
+        let sum = |part: fn(&Candidate) -> Resources| eligible().map(|c| part(c).cpu.0).sum::<u64>();
+        let is_busy = sum(|c| c.free) * 2 < sum(|c| c.capacity);
+        if is_busy && eligible().any(is_recommended) {
+            return false;
+        }
+        tickets.begin_round(now);
+        self.counters.recommendation_rounds += 1;
+        log::info!(
+            target: "decision",
+            "advice step={key} outcome=again round={} good={}",
+            tickets.rounds,
+            tickets.recommended.len()
+        );
+        true
+    }
+
+    /// Returns the workers that could run a step and are in none of its recommendation requests of this round, those with most
+    /// free processors first.
     fn untried_workers(
         &self,
         now: Timestamp,
@@ -420,8 +453,11 @@
         }
         if can_request {
             // Tickets are renewed only for workers that have enough free resources now.
-            let untried =
+            let mut untried =
                 if expired.is_empty() { self.untried_workers(now, key, candidates) } else { Vec::new() };
+            if expired.is_empty() && untried.is_empty() && self.begin_request_round(now, key, candidates) {
+                untried = self.untried_workers(now, key, candidates);
+            }
             self.request_tickets(now, key, expired, untried);
         }
         if first_request { PlaceOutcome::AwaitingTickets } else { PlaceOutcome::NoRoom }
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -367,6 +367,12 @@
     pub max_registry_delay: u64,
     /// Number of recommendation requests.
     pub requests: u32,
+    /// Ids of the workers that may run the steps of queues with recommendations; `None` for all.
+    pub allowed: Option<BTreeSet<String>>,
+    /// Number of the next recommendation requests that are answered for another step, whose workers are the others.
+    pub mixed_up_answers: u32,
+    /// Ids of the workers that refuse each ticket.
+    pub refuses_tickets: BTreeSet<String>,
     /// First recommendation request of each step: when it was made, and when its call began.
     pub first_requests: BTreeMap<StepKey, (Timestamp, Option<Timestamp>)>,
     /// Expected duration of the open recommendation request of each step.
@@ -432,6 +438,9 @@
             call_faults: Vec::new(),
             max_registry_delay: 0,
             requests: 0,
+            allowed: None,
+            mixed_up_answers: 0,
+            refuses_tickets: BTreeSet::new(),
             first_requests: BTreeMap::new(),
             open_requests: BTreeMap::new(),
             request_queue: None,
@@ -1139,11 +1148,17 @@
     /// Answers a recommendation request with tickets for the present incarnations of its workers.
     fn recommend(&mut self, epoch: Epoch, request: RecommendationRequest) {
         let expiry = self.now + request.cost.validity;
+        let is_mixed_up = self.mixed_up_answers > 0;
+        self.mixed_up_answers = self.mixed_up_answers.saturating_sub(1);
+        let step = if is_mixed_up { StepKey { job: JobKey(u64::MAX), ..request.step } } else { request.step };
         let mut recommended = Vec::new();
         for WorkerIncarnation { id, .. } in &request.workers {
+            if self.is_allowed(id) == is_mixed_up {
+                continue;
+            }
             let Some(incarnation) = self.workers.keys().find(|i| i.id == *id) else { continue };
             let ticket = format!("ticket-{}", self.tickets.len());
-            self.tickets.insert(ticket.clone(), (request.step, incarnation.clone(), expiry));
+            self.tickets.insert(ticket.clone(), (step, incarnation.clone(), expiry));
             recommended.push((id.clone(), ticket));
         }
         if epoch == self.epoch {
@@ -1151,11 +1166,16 @@
         }
     }
 
+    fn is_allowed(&self, id: &str) -> bool {
+        self.allowed.as_ref().is_none_or(|allowed| allowed.contains(id))
+    }
+
     /// Whether a ticket lets a task of a step start on an incarnation of a worker now.
     fn is_valid(&self, ticket: Option<&String>, step: StepKey, worker: &WorkerIncarnation) -> bool {
         let issued = ticket.and_then(|ticket| self.tickets.get(ticket));
+        let is_accepted = !self.refuses_tickets.contains(&*worker.id);
         issued.is_some_and(|(of, incarnation, expiry)| {
-            *of == step && incarnation == worker && self.now < *expiry
+            is_accepted && *of == step && incarnation == worker && self.now < *expiry
         })
     }
 
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -19,6 +19,7 @@
 mod leases;
 mod neighbours;
 mod owner;
+mod recommendations;
 mod records;
 mod relay;
 mod request_queue;
