Stop the copy of a done task after a change of owner too

The next owner restores the copy as placed and takes it for a run that is needed; a cancellation passes over done tasks. Change: a report that lists the placed run of a done task, or of an ended job, stops it. Why it works: each run that is active is listed in the next report of its worker, and the stop order is repeated until it is answered.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -258,6 +258,7 @@
             placement.last_progress = now;
         }
         let inherited = placement.phase == Phase::Inherited;
+        let is_stopping = matches!(placement.phase, Phase::Stopping(_));
         if matches!(placement.phase, Phase::Starting | Phase::Unconfirmed(_) | Phase::Inherited) {
             placement.phase = Phase::Running(now);
             placement.last_progress = now;
@@ -267,8 +268,9 @@
         if inherited {
             self.forget_pace(task, run, incarnation);
         }
-        if self.is_obsolete(task) {
-            // A previous owner ended the job, and its stop order may not have arrived.
+        if !is_stopping && self.is_obsolete(task) {
+            // A previous owner has recorded that, and its stop order may not have arrived.
+            log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not needed any more\"");
             self.stop_task(now, task);
         }
         if active.checkpoint.is_empty() {
@@ -348,9 +350,10 @@
         state.and_then(|t| t.placement.as_ref()).is_some_and(|p| p.phase == Phase::Storing)
     }
 
-    /// Returns whether the job has ended before this task was done, so that its run is no longer needed.
+    /// Returns whether a placed run of the task is no longer needed, since its job has ended or another run has completed the
+    /// task.
     fn is_obsolete(&self, task: TaskKey) -> bool {
-        self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) && !self.is_done(task)
+        self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) || self.is_done(task)
     }
 
     fn is_done(&self, task: TaskKey) -> bool {
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -1511,6 +1511,11 @@
         self.workers.values().map(worst_of_worker).max().unwrap_or(0)
     }
 
+    /// Returns the number of active runs of a step.
+    pub fn runs_of_step(&self, step: StepKey) -> usize {
+        self.workers.values().flat_map(|w| w.runs.keys()).filter(|(task, _)| task.step == step).count()
+    }
+
     /// Returns the numbers of the workers that run tasks of a job.
     pub fn workers_of(&self, job: u64) -> Vec<usize> {
         let runs_job = |w: &Worker| w.runs.keys().any(|(t, _)| t.step.job == JobKey(job));
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -6,6 +6,7 @@
 mod caps;
 mod cluster;
 mod configuration_exchange;
+mod copies;
 mod deadly;
 mod decisions;
 mod earlier_orders;
