Take only the answer to the call in flight as a worker's report

Operators saw: the alarm for two runs of a task, without a second run, after an owner had been frozen for longer than a lease. No caller was seen to suffer, but such a report could have stopped a run that was placed after it was made. Cause: the answer to a lease extension named its worker, not its call. An owner that removed the worker with its lease and called it again on its return took the report that had waited for the answer to the new call. Change: an answer carries the time of its call; only the one to the call in flight counts, others leave a log line. Why it works: each call is answered or times out once, so the call in flight always gets its answer. The test run_of_unknown_outcome_blocks_its_task names the call in flight in the report that it plays; else the report would be ignored.

--- a/yuccahoist/src/shard/host/orders.rs
+++ b/yuccahoist/src/shard/host/orders.rs
@@ -28,15 +28,18 @@
                     log::error!("append requested while another append of epoch {epoch} is in flight");
                 }
             }
-            Action::ExtendLease { incarnation, generation, address, deadline, acked_end, wait } => {
+            Action::ExtendLease { incarnation, generation, address, deadline, acked_end, wait, sent } => {
                 let fence = Fence { epoch, generation };
                 let (workers, inbox) = (self.ports.workers.clone(), self.inbox.clone());
                 tokio::spawn(async move {
                     let order =
                         LeaseOrder { incarnation: incarnation.clone(), address, deadline, acked_end, wait };
                     let result = workers.extend_lease(fence, order).await;
-                    send_input(&inbox, Input::OwnerEvent(epoch, Event::LeaseAnswered(incarnation, result)))
-                        .await;
+                    send_input(
+                        &inbox,
+                        Input::OwnerEvent(epoch, Event::LeaseAnswered(incarnation, sent, result)),
+                    )
+                    .await;
                 });
             }
             Action::Start {
--- a/yuccahoist/src/shard/message.rs
+++ b/yuccahoist/src/shard/message.rs
@@ -12,7 +12,7 @@
 use super::request_queue::RecommendationRequest;
 use super::spec::JobSpec;
 use super::workspace::{WorkspaceName, WorkspaceTable};
-use crate::unit::Resources;
+use crate::unit::{Resources, Timestamp};
 
 /// Identifier of a call that waits for an answer; assigned by the host that received it from the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -239,8 +239,8 @@
     WorkerUnlisted(Arc<str>, Unlisting),
     /// The store has acknowledged the batch in flight.
     Stored,
-    /// Answer to [`Action::ExtendLease`].
-    LeaseAnswered(WorkerIncarnation, Result<Report, OrderError>),
+    /// Answer to [`Action::ExtendLease`], with the time at which the call was sent.
+    LeaseAnswered(WorkerIncarnation, Timestamp, Result<Report, OrderError>),
     /// Answer to [`Action::Start`].
     Started(TaskKey, u32, WorkerIncarnation, Result<(), OrderError>),
     /// Answer to [`Action::Stop`].
@@ -277,6 +277,8 @@
         acked_end: u64,
         /// How long the worker may delay its answer until a run ends.
         wait: Duration,
+        /// When the call is sent; tells its answer from those to earlier calls.
+        sent: Timestamp,
     },
     /// Starts a run.
     Start {
--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -324,10 +324,9 @@
             Event::Worker(entry) => self.on_worker(now, entry),
             Event::WorkerUnlisted(id, reason) => self.on_worker_unlisted(now, &id, reason),
             Event::Stored => self.on_stored(now),
-            Event::LeaseAnswered(incarnation, Ok(report)) => {
-                self.on_report(now, wall, &incarnation, &report);
+            Event::LeaseAnswered(incarnation, sent, result) => {
+                self.on_lease_answer(now, wall, &incarnation, sent, result);
             }
-            Event::LeaseAnswered(incarnation, Err(error)) => self.on_lease_error(now, &incarnation, error),
             Event::Started(task, run, incarnation, result) => {
                 self.on_started(now, task, run, &incarnation, result);
             }
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -99,6 +99,7 @@
                 deadline,
                 acked_end: worker.pending_ack,
                 wait,
+                sent: now,
             });
         }
     }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -25,6 +25,29 @@
 const UNANSWERED_CALL_DELAY: Duration = Duration::from_millis(100);
 
 impl Owner {
+    /// Handles the answer to the lease extension sent at `sent`; `wall` is in milliseconds since the Unix epoch.
+    ///
+    /// Only the answer to the call in flight counts. What an earlier one tells may be older than what the owner has decided since.
+    pub(super) fn on_lease_answer(
+        &mut self,
+        now: Timestamp,
+        wall: u64,
+        incarnation: &WorkerIncarnation,
+        sent: Timestamp,
+        result: Result<Report, OrderError>,
+    ) {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        if worker.sent_at() != Some(sent) {
+            let age = now.since(sent).as_millis();
+            log::info!(target: "decision", "worker worker={incarnation} outcome=outdated age_ms={age} answer={:?}", result.err());
+            return;
+        }
+        match result {
+            Ok(report) => self.on_report(now, wall, incarnation, &report),
+            Err(error) => self.on_lease_error(now, incarnation, error),
+        }
+    }
+
     pub(super) fn on_lease_error(
         &mut self,
         now: Timestamp,
--- a/yuccahoist/tests/shard/cluster.rs
+++ b/yuccahoist/tests/shard/cluster.rs
@@ -175,6 +175,8 @@
     epoch: Epoch,
     /// Incarnation that the call names; it may be an earlier one.
     called: WorkerIncarnation,
+    /// When the call was sent.
+    sent: Timestamp,
     /// Time of the answer.
     until: Timestamp,
     /// Last acknowledged end.
@@ -385,6 +387,8 @@
     tickets: BTreeMap<String, (StepKey, WorkerIncarnation, Timestamp)>,
     /// Versions of the table of workspaces, each with the time from which it was in force.
     tables: Vec<(Timestamp, Arc<WorkspaceTable>)>,
+    /// When the last lease extension was sent, by worker.
+    extended: BTreeMap<WorkerIncarnation, Timestamp>,
     /// When the start order of a run was sent.
     ordered: BTreeMap<(TaskKey, u32), Timestamp>,
     owner: Option<Owner>,
@@ -448,6 +452,7 @@
             request_queue: None,
             tickets: BTreeMap::new(),
             tables: Vec::new(),
+            extended: BTreeMap::new(),
             ordered: BTreeMap::new(),
             owner: None,
             epoch: Epoch(0),
@@ -631,8 +636,8 @@
             worker.entry.capacity = previous.entry.capacity;
             worker.capacity_seen = previous.capacity_seen;
             let awaited = previous.pending_reports.into_iter().filter(|p| p.reply != Reply::Unwanted);
-            for PendingReport { epoch, called, .. } in awaited {
-                let broken = Event::LeaseAnswered(called, Err(OrderError::Silent));
+            for PendingReport { epoch, called, sent, .. } in awaited {
+                let broken = Event::LeaseAnswered(called, sent, Err(OrderError::Silent));
                 self.deliver_after(notice, Delivery::Event(epoch, broken));
             }
         }
@@ -815,6 +820,9 @@
         if let Action::Start { task, run, .. } = &action {
             self.ordered.insert((*task, *run), self.now);
         }
+        if let Action::ExtendLease { incarnation, sent, .. } = &action {
+            self.extended.insert(incarnation.clone(), *sent);
+        }
         match action {
             Action::Reply(call, answer) => {
                 self.check_answer(call.number, &answer);
@@ -1047,12 +1055,12 @@
             let is_due =
                 |p: &mut PendingReport| p.until <= now || ended.iter().any(|e| e.number > p.acked_end);
             let due: Vec<_> = worker.pending_reports.extract_if(.., is_due).collect();
-            for PendingReport { epoch, called, reply, .. } in due {
+            for PendingReport { epoch, called, sent, reply, .. } in due {
                 if worker.unreachable_until <= now {
                     let report = worker.report(now, checkpoint_bytes);
-                    reports.push((epoch, Event::LeaseAnswered(called, Ok(report)), reply));
+                    reports.push((epoch, Event::LeaseAnswered(called, sent, Ok(report)), reply));
                 } else if reply != Reply::Unwanted {
-                    let silent = Event::LeaseAnswered(called, Err(OrderError::Silent));
+                    let silent = Event::LeaseAnswered(called, sent, Err(OrderError::Silent));
                     reports.push((epoch, silent, Reply::After(0)));
                 }
             }
@@ -1236,9 +1244,9 @@
         let fenced = fence < worker.fence;
         worker.fence = worker.fence.max(fence);
         match action {
-            Action::ExtendLease { acked_end, deadline, wait, .. } => {
+            Action::ExtendLease { acked_end, deadline, wait, sent, .. } => {
                 if fenced {
-                    return Some(Event::LeaseAnswered(incarnation, Err(OrderError::Fenced)));
+                    return Some(Event::LeaseAnswered(incarnation, sent, Err(OrderError::Fenced)));
                 }
                 for end in worker.ended.iter().filter(|e| {
                     (worker.last_lapsed + 1..=acked_end).contains(&e.number) && e.kind == EndKind::Done
@@ -1260,6 +1268,7 @@
                 worker.pending_reports.push(PendingReport {
                     epoch,
                     called: incarnation,
+                    sent,
                     until,
                     acked_end,
                     reply,
@@ -1514,6 +1523,11 @@
         self.workers.values().map(worst_of_worker).max().unwrap_or(0)
     }
 
+    /// Returns when the last lease extension was sent to a worker.
+    pub fn extended_at(&self, incarnation: &WorkerIncarnation) -> Timestamp {
+        self.extended.get(incarnation).copied().expect("the worker was called")
+    }
+
     /// Returns the number of active runs of a step.
     pub fn runs_of_step(&self, step: StepKey) -> usize {
         self.workers.values().flat_map(|w| w.runs.keys()).filter(|(task, _)| task.step == step).count()
@@ -1595,7 +1609,9 @@
 fn without_answer(answer: Event) -> Event {
     let error = Err(OrderError::Silent);
     match answer {
-        Event::LeaseAnswered(incarnation, _) => Event::LeaseAnswered(incarnation, Err(OrderError::Silent)),
+        Event::LeaseAnswered(incarnation, sent, _) => {
+            Event::LeaseAnswered(incarnation, sent, Err(OrderError::Silent))
+        }
         Event::Started(task, run, incarnation, _) => Event::Started(task, run, incarnation, error),
         Event::Stopped(task, run, incarnation, _) => Event::Stopped(task, run, incarnation, error),
         Event::PaceAnswered(task, run, incarnation, _) => Event::PaceAnswered(task, run, incarnation, error),
@@ -1606,7 +1622,7 @@
 /// Returns the event that follows an order that failed with `error`.
 fn failed_order(action: &Action, error: OrderError) -> Event {
     match action.clone() {
-        Action::ExtendLease { incarnation, .. } => Event::LeaseAnswered(incarnation, Err(error)),
+        Action::ExtendLease { incarnation, sent, .. } => Event::LeaseAnswered(incarnation, sent, Err(error)),
         Action::Start { incarnation, task, run, .. } => Event::Started(task, run, incarnation, Err(error)),
         Action::Stop { incarnation, task, run, .. } => Event::Stopped(task, run, incarnation, Err(error)),
         Action::SetPace { incarnation, task, run, .. } => {
--- a/yuccahoist/tests/shard/freed.rs
+++ b/yuccahoist/tests/shard/freed.rs
@@ -266,3 +266,29 @@
         assert_eq!(number(&["WARN clock ", "outcome=stepped"], "step_ms"), step);
     }
 }
+
+/// An owner that was frozen removed a worker with its lease, and took the report that had waited for the answer to a call that it
+/// sent when the worker registered again.
+#[test]
+fn report_that_waited_for_a_frozen_owner_raises_no_alarm() {
+    let mut alarms = Vec::new();
+    for frozen in [4_400, 4_600, 4_800] {
+        for back_after in [300, 1_500, 3_500] {
+            let mut cluster = SimulatedCluster::new(1, 2);
+            cluster.expects_alarm = true;
+            cluster.advance(1_000);
+            cluster.submit(1, spec(8, LONG_MS));
+            cluster.advance(2_000);
+            cluster.unlist(0);
+            cluster.advance(200);
+            cluster.freeze_owner(frozen);
+            cluster.advance(back_after);
+            cluster.register(0);
+            cluster.advance(frozen + 2_000);
+            if cluster.alarms() > 0 {
+                alarms.push((frozen, back_after));
+            }
+        }
+    }
+    assert!(alarms.is_empty(), "alarms: {alarms:?}");
+}
--- a/yuccahoist/tests/shard/run_ends.rs
+++ b/yuccahoist/tests/shard/run_ends.rs
@@ -7,7 +7,7 @@
 use yuccahoist::shard::message::{OrderError, Report, Request};
 use yuccahoist::shard::record::JobState;
 use yuccahoist::shard::{Event, JobKey, StepKey, TaskKey, WorkerIncarnation};
-use yuccahoist::unit::Resources;
+use yuccahoist::unit::{Resources, Timestamp};
 
 use super::cluster::{CallFault, CallKind, Departure, SimulatedCluster, WORKER_CAPACITY, spec};
 
@@ -464,20 +464,21 @@
         name: &'static str,
         /// Time from the start order to the event, milliseconds.
         after: u64,
-        event: fn(TaskKey, WorkerIncarnation) -> Event,
+        /// Event for the task and its worker, to which a lease extension was sent at the given time.
+        event: fn(TaskKey, WorkerIncarnation, Timestamp) -> Event,
     }
     let cases = [
         Case {
             name: "a copy of an executed start order is refused",
             after: 0,
-            event: |task, worker| Event::Started(task, 1, worker, Err(OrderError::Old)),
+            event: |task, worker, _| Event::Started(task, 1, worker, Err(OrderError::Old)),
         },
         Case {
             name: "a report lists the run neither as active nor as ended",
             after: 1_500,
-            event: |_, worker| {
+            event: |_, worker, sent| {
                 let report = Report { started_at: None, clock: 0, active: Vec::new(), ended: Vec::new() };
-                Event::LeaseAnswered(worker, Ok(report))
+                Event::LeaseAnswered(worker, sent, Ok(report))
             },
         },
     ];
@@ -489,7 +490,9 @@
             let worker = cluster.advance_until_ordered(1);
             cluster.advance(case.after);
             let task = StepKey { job: JobKey(1), occurrence: 0, step: 0 }.task(0);
-            cluster.handle_event((case.event)(task, cluster.entry_of(worker).incarnation));
+            let incarnation = cluster.entry_of(worker).incarnation;
+            let sent = cluster.extended_at(&incarnation);
+            cluster.handle_event((case.event)(task, incarnation, sent));
             cluster.advance(SETTLE_MS);
             assert_eq!(cluster.query_state(1), Some(JobState::Completed), "not completed");
         };
--- a/yuccahoist_bench/benches/large_job.rs
+++ b/yuccahoist_bench/benches/large_job.rs
@@ -61,7 +61,7 @@
             }));
         }
         for number in 0..WORKERS {
-            fleet.handle(Event::LeaseAnswered(incarnation(number), Ok(report(Vec::new()))));
+            fleet.handle(Event::LeaseAnswered(incarnation(number), now, Ok(report(Vec::new()))));
         }
         fleet.settle();
         fleet
