List a job that is given up since one crash counts twice

Cause, by its log: losses are counted by run. Two runs of a task whose copies may run in parallel were on one worker when it crashed, so three crashes were counted of two workers (give-up ... crashes=3 losses=3).

--- a/yuccahoist/tests/shard/deadly.rs
+++ b/yuccahoist/tests/shard/deadly.rs
@@ -302,3 +302,21 @@
         mix(seed);
     }
 }
+
+/// A worker that crashed under two runs of a task counted as two workers, so a harmless job was given up after two crashes.
+#[test]
+fn two_runs_of_a_task_on_one_worker_count_as_one_crash() {
+    let mut cluster = SimulatedCluster::new(1, 1);
+    let mut job = spec(1, 8_000);
+    job.steps[0].speculative = true;
+    cluster.advance(500);
+    cluster.submit(1, job);
+    for crash in 1..=2 {
+        cluster.advance(1_500);
+        cluster.disconnect(0, 1_500, false);
+        cluster.advance(3_000);
+        cluster.crash_worker(0, 600);
+        cluster.advance(1_500);
+        assert_ne!(cluster.query_state(1), Some(JobState::Failed), "after {crash} crashes");
+    }
+}
