--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -298,7 +298,6 @@
             placement.last_progress = now;
         }
         let inherited = placement.phase == Phase::Inherited;
-        let is_stopping = matches!(placement.phase, Phase::Stopping(_));
         if matches!(placement.phase, Phase::Starting | Phase::Unconfirmed(_) | Phase::Inherited) {
             placement.phase = Phase::Running(now);
             placement.last_progress = now;
@@ -308,8 +307,11 @@
         if inherited {
             self.forget_pace(task, run, incarnation);
         }
-        if !is_stopping && self.is_obsolete(task) {
-            // A previous owner has recorded that, and its stop order may not have arrived.
+        if self.is_obsolete(task) {
+            // A previous owner ended the job, and its stop order may not have arrived.
+            self.stop_task(now, task);
+        } else if inherited && self.is_done(task) {
+            // The same for the copy of a done task. Under one owner only members of a gang are listed after its end.
             log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not needed any more\"");
             self.stop_task(now, task);
         }
@@ -390,10 +392,9 @@
         state.and_then(|t| t.placement.as_ref()).is_some_and(|p| p.phase == Phase::Storing)
     }
 
-    /// Returns whether a placed run of the task is no longer needed, since its job has ended or another run has completed the
-    /// task.
+    /// Returns whether the job has ended before this task was done, so that its run is no longer needed.
     fn is_obsolete(&self, task: TaskKey) -> bool {
-        self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) || self.is_done(task)
+        self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) && !self.is_done(task)
     }
 
     fn is_done(&self, task: TaskKey) -> bool {
