Bind tasks to the worker of an unanswered start order

Cause: the first report under a new epoch that does not list an inherited run was taken for the proof that the run is over. The worker refuses earlier epochs from then on, but its next incarnation does not until it has answered a call, and an order names the worker by its id only. Ruled out by the lines of the case: a lease that was counted too short (proof=lapsed), and an order executed in spite of the fence (overlap on the same incarnation).

Change: owner/pins.rs binds such a task to the worker until the order can't be executed any more. It starts there again at once, as the next run, and only on incarnations that refuse the order. Records name these tasks and the tasks whose start was answered. Orders of previous owners count as unanswered like the owner's own. A worker is called at once until it refuses earlier orders. Steps with tickets and steps whose runs may overlap are not followed.

--- a/yuccahoist/src/shard/owner.rs
+++ b/yuccahoist/src/shard/owner.rs
@@ -14,6 +14,7 @@
 mod losses;
 mod neighbours;
 mod observe;
+mod pins;
 mod preempt;
 mod recommendations;
 mod recover;
@@ -183,6 +184,10 @@
     /// Runs that ended otherwise than by their lease and whose end was reported after they had been freed on it: they ended
     /// before, or were active after.
     pub ended_after_free: u64,
+    /// Tasks that were bound to a worker, since an earlier start order may still be executed there.
+    pub pinned_tasks: u64,
+    /// Runs of such tasks that were started late.
+    pub late_starts: u64,
     /// Leases that expired with runs on their workers, by the orders that decided their end.
     pub expired_leases: ExpiryCounts,
     /// Workers of which a later incarnation showed that they had crashed.
@@ -227,6 +232,8 @@
     removed: BTreeMap<Arc<str>, restarts::Removed>,
     /// Runs that were freed lately.
     freed: freed::FreedRuns,
+    /// Tasks whose earlier start order may still be executed.
+    pins: pins::Pins,
     /// When this owner took over.
     restored_at: Timestamp,
     /// Difference of the time of day and the monotonic clock, milliseconds.
--- a/yuccahoist/src/shard/owner/caps.rs
+++ b/yuccahoist/src/shard/owner/caps.rs
@@ -61,6 +61,8 @@
             let worker = self.workers.entry(incarnation.clone()).or_insert_with(placeholder);
             worker.unlisted_since = Some(now);
             worker.reserve(task, *run, spec.reserved(), spec.resources, workspace.clone(), Some(now));
+            // The runs of the task may overlap.
+            worker.answer_start(task, *run);
             job.displaced.insert((task, *run), incarnation.clone());
             job.active_runs += 1;
         }
--- a/yuccahoist/src/shard/owner/checks.rs
+++ b/yuccahoist/src/shard/owner/checks.rs
@@ -58,6 +58,7 @@
             self.forget_losses();
             self.forget_earlier_orders(now);
             self.freed.expire(now);
+            self.release_pins(now);
             self.removed.retain(|_, removed| now < removed.at + MAX_ORDER_DELAY);
             self.expire_capped(now);
             self.refresh_speeds(now);
@@ -81,7 +82,7 @@
                 None
             };
             let wait = match deadline {
-                Some(_) if !worker.is_responsive || !worker.has_reported => Duration::ZERO,
+                Some(_) if !worker.is_responsive || !worker.has_fenced => Duration::ZERO,
                 Some(_) if worker.has_probation() || worker.awaits_report => SHORT_REPORT_WAIT,
                 Some(_) if worker.entry.draining => DRAINING_REPORT_WAIT,
                 Some(_) => MAX_REPORT_WAIT,
--- a/yuccahoist/src/shard/owner/effects.rs
+++ b/yuccahoist/src/shard/owner/effects.rs
@@ -1,22 +1,27 @@
 //! Encoding of batches, and their effects once they are stored.
 
+use std::collections::BTreeMap;
+
 use super::{Batch, Effect, Owner};
-use crate::shard::id::{JobKey, TaskKey, WorkerIncarnation};
-use crate::shard::job::Phase;
+use crate::shard::id::{JobKey, StepKey, TaskKey, WorkerIncarnation};
+use crate::shard::job::{Job, Phase};
 use crate::shard::message::Action;
-use crate::shard::record::{Entry, Progress, Record};
+use crate::shard::record::{Entry, Progress, Record, TaskRange};
 use crate::shard::run_end::EndProof;
-use crate::shard::worker::LeaseExtension;
+use crate::shard::worker::{LeaseExtension, ReservedRun, Worker};
 use crate::unit::{Bytes, Timestamp};
 
 /// Removes a part of a job's progress.
 type Reduction = fn(&mut Progress);
 
-/// Encodes the progress of a job. A record that the store would refuse leaves out what a later owner can do without: the
-/// workers lost under the tasks, then the checkpoints.
+/// Encodes the progress of a job. A record that the store would refuse leaves out what a later owner can do without: which
+/// orders are settled, the workers lost under the tasks, then the checkpoints.
 fn progress_entry(key: JobKey, mut progress: Progress, limit: Bytes) -> Entry {
-    let reductions: [(&str, Reduction); 2] =
-        [("losses", |progress| progress.losses.clear()), ("checkpoints", Progress::clear_checkpoints)];
+    let reductions: [(&str, Reduction); 3] = [
+        ("settled", |progress| progress.settled.clear()),
+        ("losses", |progress| progress.losses.clear()),
+        ("checkpoints", Progress::clear_checkpoints),
+    ];
     let mut entry = Entry::from_progress(key, &progress);
     for (part, reduce) in reductions {
         if entry.size() <= limit {
@@ -32,6 +37,27 @@
     entry
 }
 
+/// Returns the tasks of a job whose current start order is not executed late.
+fn settled_tasks(key: JobKey, job: &Job, workers: &BTreeMap<WorkerIncarnation, Worker>) -> Vec<TaskRange> {
+    let mut ranges = Vec::new();
+    for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
+        for ((step, state), spec) in (0u32..).zip(steps).zip(&job.spec.steps) {
+            if !job.spec.follows_starts(spec) {
+                continue;
+            }
+            for (index, task) in (0u32..).zip(&state.tasks) {
+                let Some(placement) = &task.placement else { continue };
+                let run = (StepKey { job: key, occurrence, step }.task(index), placement.run);
+                let reserved = workers.get(&placement.incarnation).and_then(|w| w.runs.get(&run));
+                if reserved.is_some_and(ReservedRun::is_settled) {
+                    TaskRange::extend(&mut ranges, occurrence, step, index);
+                }
+            }
+        }
+    }
+    ranges
+}
+
 impl Owner {
     /// Encodes a batch; if it is empty, the ownership record is written as a heartbeat.
     pub(super) fn encode_batch(&mut self, now: Timestamp, batch: &Batch) -> Vec<Entry> {
@@ -47,6 +73,8 @@
             let orders = |i: &WorkerIncarnation| self.workers.get(i)?.lease.earlier_orders(now);
             let incarnations = (0u32..).zip(&progress.incarnations);
             progress.earlier_orders = incarnations.filter_map(|(n, i)| Some((n, orders(i)?))).collect();
+            progress.settled = settled_tasks(*key, job, &self.workers);
+            progress.pinned = if job.state.is_final() { Vec::new() } else { self.pins.stored(*key) };
             entries.push(progress_entry(*key, progress, self.options.max_record));
             if job.state.is_final() && job.active_runs == 0 && !job.spec_deleted {
                 job.spec_deleted = true;
--- a/yuccahoist/src/shard/owner/evacuation.rs
+++ b/yuccahoist/src/shard/owner/evacuation.rs
@@ -47,7 +47,7 @@
         }
     }
 
-    fn task(&self, task: TaskKey) -> Option<&Task> {
+    pub(super) fn task(&self, task: TaskKey) -> Option<&Task> {
         let key = task.step;
         let steps = self.jobs.get(&key.job)?.occurrences.get(key.occurrence as usize)?;
         steps.get(key.step as usize)?.tasks.get(task.index as usize)
--- a/yuccahoist/src/shard/owner/freed.rs
+++ b/yuccahoist/src/shard/owner/freed.rs
@@ -119,7 +119,8 @@
         );
         self.counters.ended_runs.add(proof);
         let bound = worker.map(|w| w.lease.bound());
-        if self.may_overlap(task) == Some(false) && self.freed.0.len() < MAX_RUNS {
+        let is_expected = self.may_start_late(task, run, &incarnation.id);
+        if self.may_overlap(task) == Some(false) && !is_expected && self.freed.0.len() < MAX_RUNS {
             self.freed.0.insert((task, run), Freed { at: now, proof, bound, is_seen: false });
         }
     }
@@ -157,6 +158,11 @@
         if is_known || self.may_overlap(task) != Some(false) {
             return;
         }
+        if self.may_start_late(task, run, &incarnation.id) {
+            self.counters.late_starts += 1;
+            log::info!(target: "decision", "late-start task={task} run={run} worker={incarnation} epoch={}", self.epoch());
+            return;
+        }
         self.counters.active_unplaced += 1;
         self.warn_overlap(now, incarnation, task, run, "active");
     }
@@ -209,7 +215,7 @@
     }
 
     /// Whether runs of a task may overlap; `None` if the specification of its job is not known any more.
-    fn may_overlap(&self, task: TaskKey) -> Option<bool> {
+    pub(super) fn may_overlap(&self, task: TaskKey) -> Option<bool> {
         let steps = &self.jobs.get(&task.step.job)?.spec.steps;
         steps.get(task.step.step as usize).map(|step| step.speculative)
     }
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -70,6 +70,7 @@
             generations: BTreeMap::new(),
             removed: BTreeMap::new(),
             freed: super::freed::FreedRuns::default(),
+            pins: super::pins::Pins::default(),
             restored_at: now,
             wall_offset: i128::from(wall) - i128::from(now.as_micros() / 1_000),
             ready: ReadySteps::default(),
@@ -168,6 +169,9 @@
                 let Some(step) = job.occurrences[occurrence as usize].get_mut(number as usize) else { break };
                 let step_spec = &spec.steps[number as usize];
                 let (resources, counted) = (step_spec.reserved(), step_spec.resources);
+                let follows_starts = spec.follows_starts(step_spec);
+                let is_settled =
+                    |index| progress.settled.iter().any(|range| range.contains(occurrence, number, index));
                 for (index, stored) in (0u32..).zip(tasks) {
                     let Some(task) = step.tasks.get_mut(index as usize) else { break };
                     let incarnation = stored.placement.and_then(|p| progress.incarnations.get(p as usize));
@@ -187,6 +191,9 @@
                         }
                         let (run, workspace) = (placement.run, workspace.clone());
                         worker.reserve(task_key, run, resources, counted, workspace, Some(now));
+                        if !follows_starts || is_settled(index) {
+                            worker.answer_start(task_key, run);
+                        }
                         job.active_runs += 1;
                     }
                     if stored.done {
@@ -197,6 +204,7 @@
         }
         let ended = job.state.is_final();
         self.restore_displaced(now, key, &progress.displaced);
+        self.restore_pins(now, key, &progress.pinned);
         if ended && self.jobs.get(&key).is_some_and(|j| j.active_runs == 0) {
             self.batch.progress.insert(key);
         }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -273,8 +273,9 @@
             listed.insert((active.task, active.run));
             self.check_active(now, incarnation, active.task, active.run, sent);
             self.on_active_run(now, incarnation, active);
-            if let Some(worker) = self.workers.get_mut(incarnation) {
-                worker.list(now, active.task, active.run);
+            let Some(worker) = self.workers.get_mut(incarnation) else { continue };
+            if worker.list(now, active.task, active.run) {
+                self.store_settled(active.task);
             }
         }
         self.pass_due |= had_probation;
@@ -393,11 +394,11 @@
     }
 
     /// Returns whether the job has ended before this task was done, so that its run is no longer needed.
-    fn is_obsolete(&self, task: TaskKey) -> bool {
+    pub(super) fn is_obsolete(&self, task: TaskKey) -> bool {
         self.jobs.get(&task.step.job).is_some_and(|j| j.state.is_final()) && !self.is_done(task)
     }
 
-    fn is_done(&self, task: TaskKey) -> bool {
+    pub(super) fn is_done(&self, task: TaskKey) -> bool {
         let key = task.step;
         let steps = self.jobs.get(&key.job).and_then(|j| j.occurrences.get(key.occurrence as usize));
         let tasks = steps.and_then(|s| s.get(key.step as usize)).map(|s| &s.tasks);
@@ -427,7 +428,9 @@
             let phase = placement.phase;
             let reserved = self.workers.get(incarnation).and_then(|w| w.runs.get(&(task, run)));
             let is_started = reserved.is_none_or(|r| r.is_started);
-            let may_begin = reserved.is_some_and(|r| r.may_begin_later(now));
+            let is_inherited = reserved.is_some_and(|r| r.is_inherited);
+            // A task that is bound to the worker does not wait until its order can't be executed any more.
+            let may_begin = reserved.is_some_and(|r| r.may_begin_later(now)) && !is_inherited;
             // The worker may not list a run that it is stopping.
             let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
             awaits_report |= !may_begin && matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
@@ -436,9 +439,13 @@
                 // Once stopped, the run can't begin on this incarnation any more.
                 Phase::Unconfirmed(at) | Phase::Running(at) if at <= sent => self.stop_task(now, task),
                 Phase::Stopping(Some(at)) if at + stop_time < sent && !may_begin => {
+                    self.pin_task(now, task, run, incarnation);
                     self.drop_placement(now, task, run, EndProof::Stopped);
                 }
-                Phase::Inherited => self.drop_placement(now, task, run, EndProof::Fenced),
+                Phase::Inherited => {
+                    self.pin_task(now, task, run, incarnation);
+                    self.drop_placement(now, task, run, EndProof::Fenced);
+                }
                 Phase::Unconfirmed(_) | Phase::Running(_) | Phase::Stopping(Some(_)) => {}
             }
         }
--- a/yuccahoist/src/shard/owner/runs.rs
+++ b/yuccahoist/src/shard/owner/runs.rs
@@ -56,6 +56,7 @@
                 }
                 self.accept_ticket(task.step, incarnation);
                 self.mark_running(task.step.job);
+                self.store_settled(task);
                 self.pace_started_filler(now, task, run, incarnation);
                 return;
             }
@@ -110,6 +111,15 @@
         self.adjust_queued_jobs(&queue, -1);
     }
 
+    /// Tells the next owner, with the next write, that the start order of a task is not executed late.
+    pub(super) fn store_settled(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let step = job.spec.steps.get(task.step.step as usize);
+        if step.is_some_and(|step| job.spec.follows_starts(step)) {
+            self.begun.insert(task.step.job);
+        }
+    }
+
     /// Removes the placement of a run that is over, or never began, on `proof`.
     pub(super) fn drop_placement(&mut self, now: Timestamp, task: TaskKey, run: u32, proof: EndProof) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -9,6 +9,7 @@
 
 use super::neighbours::undisturbed;
 use super::observe::SpeedForecast;
+use super::pins::Binding;
 use super::recommendations::{RequestOffer, order_by_pace};
 use super::shares::workspace_field;
 use super::{Effect, Owner};
@@ -93,11 +94,13 @@
 /// Tasks of a step that are placed in a pass.
 #[derive(Debug, Default)]
 struct PendingTasks {
+    /// Tasks that are bound to a worker, each with its incarnation.
+    pinned: Vec<(u32, WorkerIncarnation)>,
     /// Tasks under suspicion; at most one that may crash its worker at the start, unless they are a gang.
     suspects: Vec<u32>,
     /// Other tasks.
     unsuspected: Vec<u32>,
-    /// Whether tasks under suspicion are left out of this pass.
+    /// Whether tasks under suspicion, or bound to a worker that they wait for, are left out of this pass.
     on_hold: bool,
 }
 
@@ -109,7 +112,7 @@
             unplaced.partition(|(_, task)| task.losses.probation().is_some());
         let indexes = |tasks: Vec<(u32, &Task)>| tasks.into_iter().map(|(index, _)| index).collect();
         let mut pending =
-            Self { suspects: indexes(suspects), unsuspected: indexes(unsuspected), on_hold: false };
+            Self { suspects: indexes(suspects), unsuspected: indexes(unsuspected), ..Self::default() };
         let is_limited = |index: &u32| step.tasks[*index as usize].losses.may_crash_at_start();
         let limited = pending.suspects.iter().filter(|index| is_limited(index)).count();
         let admitted = if admits_suspects && step_spec.gang { limited } else { usize::from(admits_suspects) };
@@ -126,15 +129,36 @@
         pending
     }
 
+    /// Sets the tasks apart that are bound to a worker, and leaves out those that wait for it. A gang waits as a whole.
+    fn bind(&mut self, is_gang: bool, binding: impl Fn(u32) -> Option<Binding>) {
+        let Self { pinned, suspects, unsuspected, .. } = self;
+        let mut waits = false;
+        for tasks in [suspects, unsuspected] {
+            tasks.retain(|index| {
+                match binding(*index) {
+                    None => return true,
+                    Some(Binding::Worker(incarnation)) => pinned.push((*index, incarnation)),
+                    Some(Binding::Awaited) => waits = true,
+                }
+                false
+            });
+        }
+        if waits && is_gang {
+            *self = Self { on_hold: true, ..Self::default() };
+        }
+        self.on_hold |= waits;
+    }
+
     fn count(&self) -> usize {
-        self.suspects.len() + self.unsuspected.len()
+        self.pinned.len() + self.suspects.len() + self.unsuspected.len()
     }
 
     /// Keeps the first `count` tasks; returns whether there were more.
     fn truncate(&mut self, count: usize) -> bool {
         let is_longer = self.count() > count;
-        self.suspects.truncate(count);
-        self.unsuspected.truncate(count - self.suspects.len());
+        self.pinned.truncate(count);
+        self.suspects.truncate(count - self.pinned.len());
+        self.unsuspected.truncate(count - self.pinned.len() - self.suspects.len());
         is_longer
     }
 }
@@ -147,8 +171,8 @@
     AwaitingTickets,
     /// The tasks that are left wait for room under the cap of their workspace.
     Capped,
-    /// The tasks that are left are under suspicion, and wait until others have passed their probation.
-    AwaitingProbation,
+    /// The tasks that are left wait until other tasks have passed their probation, or for the worker that they are bound to.
+    OnHold,
 }
 
 impl Owner {
@@ -180,7 +204,7 @@
                     self.rerank_placed_step(now, key);
                 }
                 PlaceOutcome::Capped => self.record_capped(now, key),
-                PlaceOutcome::AwaitingTickets | PlaceOutcome::AwaitingProbation => {}
+                PlaceOutcome::AwaitingTickets | PlaceOutcome::OnHold => {}
                 PlaceOutcome::NoRoom => {
                     misses += 1;
                     if gangs < MAX_RESERVING_GANGS
@@ -193,13 +217,17 @@
         }
     }
 
-    /// Returns the steps to try in this pass: late gangs by age, then all by rank. Where caps apply, the pass itself limits
-    /// the number, since steps without room under their cap must not take the place of others.
+    /// Returns the steps to try in this pass: those with a task that is bound to a worker, before others take its room there,
+    /// late gangs by age, then all by rank. Where caps apply, the pass itself limits the number, since steps without room under
+    /// their cap must not take the place of others.
     fn pass_order(&self) -> Vec<StepKey> {
+        let mut order: Vec<StepKey> = self.pins.steps().filter(|key| self.ready.contains(*key)).collect();
+        order.dedup();
         let is_entitled = |key: &StepKey| self.jobs.get(&key.job).is_some_and(|j| !j.is_excess);
         let gangs = self.longest_waiting_gangs().into_iter().filter(is_entitled);
         let gangs = gangs.filter(|key| self.has_cap_room(*key));
-        let mut order: Vec<StepKey> = gangs.take(MAX_GANGS_BY_AGE).collect();
+        let gangs: Vec<StepKey> = gangs.filter(|key| !order.contains(key)).take(MAX_GANGS_BY_AGE).collect();
+        order.extend(gangs);
         let count = if self.has_caps() { usize::MAX } else { MAX_STEPS_PER_PASS };
         let ranked = self.ready.ordered(&self.standings, count).into_iter();
         let ranked: Vec<StepKey> = ranked.filter(|key| !order.contains(key)).collect();
@@ -412,8 +440,11 @@
             return PlaceOutcome::AwaitingTickets;
         }
         let mut pending = PendingTasks::new(step, step_spec, candidates.probation.admits(key.job));
+        if self.pins.steps().any(|step| step == key) {
+            pending.bind(step_spec.gang, |index| self.binding(key.task(index)));
+        }
         if pending.count() == 0 {
-            return PlaceOutcome::AwaitingProbation;
+            return PlaceOutcome::OnHold;
         }
         let admitted = self.cap_admits(key, pending.count());
         if admitted == 0 {
@@ -449,7 +480,7 @@
             return PlaceOutcome::Capped;
         }
         if !incomplete {
-            return if pending.on_hold { PlaceOutcome::AwaitingProbation } else { PlaceOutcome::Placed };
+            return if pending.on_hold { PlaceOutcome::OnHold } else { PlaceOutcome::Placed };
         }
         if can_request {
             // Tickets are renewed only for workers that have enough free resources now.
@@ -463,8 +494,8 @@
         if first_request { PlaceOutcome::AwaitingTickets } else { PlaceOutcome::NoRoom }
     }
 
-    /// Chooses workers for pending tasks, as pairs of a task's index and an index into `capacities`. Tasks under suspicion
-    /// go to the workers with the fewest runs.
+    /// Chooses workers for pending tasks, as pairs of a task's index and an index into `capacities`. Tasks that are bound to a
+    /// worker go there, and tasks under suspicion to the workers with the fewest runs.
     fn choose_workers(
         &self,
         step_spec: &StepSpec,
@@ -473,8 +504,23 @@
         mut capacities: Vec<FreeCapacity>,
     ) -> Vec<(u32, usize)> {
         let resources = step_spec.reserved();
+        let mut chosen = Vec::new();
+        for (index, incarnation) in &pending.pinned {
+            let own = capacities.iter().position(|c| c.incarnation == *incarnation);
+            match own.filter(|own| packing::fitting_tasks(resources, &capacities[*own]) > 0) {
+                Some(own) => {
+                    take_room(&mut capacities[own], resources);
+                    chosen.push((*index, own));
+                }
+                None if step_spec.gang => return Vec::new(),
+                None => {}
+            }
+        }
         if step_spec.gang {
             let members: Vec<u32> = pending.suspects.iter().chain(&pending.unsuspected).copied().collect();
+            if members.is_empty() {
+                return chosen;
+            }
             let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
             let allowed = if pending.suspects.is_empty() {
                 (0..capacities.len()).collect()
@@ -485,10 +531,10 @@
                 allowed.iter().map(|index| capacities[*index].clone()).collect();
             let found =
                 packing::place_gang(resources, count, step_spec.single_rack, goal, &allowed_capacities);
-            let found = found.into_iter().flatten().map(|index| allowed[index]);
-            return members.into_iter().zip(found).collect();
+            let Some(found) = found else { return Vec::new() };
+            chosen.extend(members.into_iter().zip(found.into_iter().map(|index| allowed[index])));
+            return chosen;
         }
-        let mut chosen = Vec::new();
         for index in &pending.suspects {
             let Some(quietest) = self.quietest_workers(resources, 1, &capacities).first().copied() else {
                 break;
@@ -498,8 +544,7 @@
         }
         for index in &pending.unsuspected {
             let Some(chosen_index) = packing::place_single(resources, goal, &capacities) else { break };
-            capacities[chosen_index].free = capacities[chosen_index].free.saturating_sub(resources);
-            capacities[chosen_index].max_tasks = capacities[chosen_index].max_tasks.saturating_sub(1);
+            take_room(&mut capacities[chosen_index], resources);
             chosen.push((*index, chosen_index));
         }
         chosen
@@ -568,6 +613,12 @@
     }
 }
 
+/// Takes the room of a task of a step from a worker.
+fn take_room(capacity: &mut FreeCapacity, resources: Resources) {
+    capacity.free = capacity.free.saturating_sub(resources);
+    capacity.max_tasks = capacity.max_tasks.saturating_sub(1);
+}
+
 /// Returns whether a worker has the service and the label that a step requires.
 pub(super) fn is_eligible(candidate: &Candidate, service: &str, step_spec: &StepSpec) -> bool {
     *candidate.service == *service && step_spec.label.as_ref().is_none_or(|l| candidate.labels.contains(l))
--- a/yuccahoist/src/shard/ready.rs
+++ b/yuccahoist/src/shard/ready.rs
@@ -29,6 +29,12 @@
         self.ranks.is_empty()
     }
 
+    /// Whether a step waits.
+    #[must_use]
+    pub fn contains(&self, key: StepKey) -> bool {
+        self.ranks.contains_key(&key)
+    }
+
     /// Adds a step of a workspace.
     pub fn insert(&mut self, key: StepKey, rank: Rank, workspace: Option<&WorkspaceName>) {
         self.remove(key);
--- a/yuccahoist/src/shard/record.rs
+++ b/yuccahoist/src/shard/record.rs
@@ -122,6 +122,13 @@
     /// Orders to earlier incarnations that extend the leases of workers, by index into `incarnations`. Stored behind `losses`.
     #[serde(skip)]
     pub earlier_orders: BTreeMap<u32, EarlierOrders>,
+    /// Tasks whose current run has certainly been started or refused, so that its start order is not executed late. Stored
+    /// behind `losses`.
+    #[serde(skip)]
+    pub settled: Vec<TaskRange>,
+    /// Tasks that are bound to a worker. Stored behind `losses`.
+    #[serde(skip)]
+    pub pinned: Vec<PinnedTask>,
 }
 
 impl Progress {
@@ -156,14 +163,75 @@
     }
 }
 
+/// Stored task that is bound to a worker, since an earlier start order may still be executed there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PinnedTask {
+    /// Occurrence of the job.
+    pub occurrence: u32,
+    /// Step of the occurrence.
+    pub step: u32,
+    /// Index of the task.
+    pub index: u32,
+    /// Highest number of a run whose start order may be executed late.
+    pub run: u32,
+    /// Id of the worker.
+    pub worker: String,
+}
+
+impl PinnedTask {
+    /// Creates the stored form of a pinned task.
+    #[must_use]
+    pub fn new(task: TaskKey, run: u32, worker: &str) -> Self {
+        let StepKey { occurrence, step, .. } = task.step;
+        Self { occurrence, step, index: task.index, run, worker: worker.to_owned() }
+    }
+}
+
+/// Consecutive tasks of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRange {
+    /// Occurrence of the job.
+    pub occurrence: u32,
+    /// Step of the occurrence.
+    pub step: u32,
+    /// Index of the first task.
+    pub first: u32,
+    /// Number of tasks.
+    pub count: u32,
+}
+
+impl TaskRange {
+    /// Adds a task to ranges in the order of the tasks.
+    pub fn extend(ranges: &mut Vec<Self>, occurrence: u32, step: u32, index: u32) {
+        if let Some(last) = ranges.last_mut()
+            && (last.occurrence, last.step, last.first + last.count) == (occurrence, step, index)
+        {
+            last.count += 1;
+            return;
+        }
+        ranges.push(Self { occurrence, step, first: index, count: 1 });
+    }
+
+    /// Whether the range contains a task.
+    #[must_use]
+    pub const fn contains(&self, occurrence: u32, step: u32, index: u32) -> bool {
+        self.occurrence == occurrence
+            && self.step == step
+            && self.first <= index
+            && index - self.first < self.count
+    }
+}
+
 /// Part of a job's progress behind the losses, where versions that don't know it ignore it.
 #[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
 struct ProgressExtension {
     displaced: Vec<DisplacedRun>,
     workspace: Option<Workspace>,
-    /// A record of an earlier version ends before this field, or before the next one.
+    /// A record of an earlier version ends before this field, or before a later one.
     is_excess: bool,
     earlier_orders: BTreeMap<u32, EarlierOrders>,
+    settled: Vec<TaskRange>,
+    pinned: Vec<PinnedTask>,
 }
 
 /// Stored loss of a worker under a run.
@@ -234,6 +302,8 @@
         workspace: progress.workspace.clone(),
         is_excess: progress.is_excess,
         earlier_orders: progress.earlier_orders.clone(),
+        settled: progress.settled.clone(),
+        pinned: progress.pinned.clone(),
     };
     let is_extended = extension != ProgressExtension::default();
     if progress.losses.is_empty() && !is_extended {
@@ -250,14 +320,16 @@
         let (losses, rest) = postcard::take_from_bytes(rest).map_err(invalid)?;
         progress.losses = losses;
         if !rest.is_empty() {
-            // Zero bytes are the encoding of `is_excess` for an entitled job and of empty `earlier_orders`, and are ignored
+            // Zero bytes are the encoding of `is_excess` for an entitled job and of the empty lists behind it, and are ignored
             // behind fields that are present.
-            let padded: Vec<u8> = rest.iter().copied().chain([0, 0]).collect();
+            let padded: Vec<u8> = rest.iter().copied().chain([0; 4]).collect();
             let extension: ProgressExtension = postcard::from_bytes(&padded).map_err(invalid)?;
             progress.displaced = extension.displaced;
             progress.workspace = extension.workspace;
             progress.is_excess = extension.is_excess;
             progress.earlier_orders = extension.earlier_orders;
+            progress.settled = extension.settled;
+            progress.pinned = extension.pinned;
         }
     }
     Ok(progress)
--- a/yuccahoist/src/shard/run_end.rs
+++ b/yuccahoist/src/shard/run_end.rs
@@ -4,7 +4,8 @@
 //! a line of the log and in a metric.
 //!
 //! A proof holds for one incarnation of a worker. A start order that was never answered can still be executed by the next
-//! incarnation under the same id, unless it has a ticket; its run stays placed until then.
+//! incarnation under the same id, unless it has a ticket; its run stays placed until then, or its task is bound to the worker,
+//! see `owner/pins.rs`.
 
 use std::fmt;
 
--- a/yuccahoist/src/shard/spec.rs
+++ b/yuccahoist/src/shard/spec.rs
@@ -178,6 +178,13 @@
         Bytes(self.task_count().saturating_mul(TASK_PROGRESS_BYTES + failures * FAILURE_BYTES))
     }
 
+    /// Whether the start orders of a step are followed to the next incarnations of its workers. These refuse a ticket, and runs
+    /// that may overlap need not be followed.
+    #[must_use]
+    pub const fn follows_starts(&self, step: &StepSpec) -> bool {
+        self.queue.recommendation.is_none() && !step.speculative
+    }
+
     /// Returns the number of tasks over all occurrences.
     fn task_count(&self) -> u64 {
         let tasks: u64 = self.steps.iter().map(|s| u64::from(s.tasks)).sum();
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -65,17 +65,20 @@
         self.ordered_at.is_some() && !self.is_inherited && self.age_at(silent_since) < START_AGE
     }
 
-    /// Returns when the start order was sent, if this owner sent it and it was neither answered nor listed in a report.
-    ///
-    /// An order of a previous owner counts as executed: its tasks would else wait after each change of owner, see
-    /// `order_of_a_previous_owner_that_outlives_a_first_report_is_not_doubled`.
+    /// Whether the start order was executed or refused.
+    #[must_use]
+    pub const fn is_settled(&self) -> bool {
+        self.is_answered || self.listed_at.is_some()
+    }
+
+    /// Returns when the start order was sent, if it was neither answered nor listed in a report.
     fn unanswered_since(&self) -> Option<Timestamp> {
-        let is_executed = self.is_answered || self.listed_at.is_some() || self.is_inherited;
-        self.ordered_at.filter(|_| !is_executed)
+        self.ordered_at.filter(|_| !self.is_settled())
     }
 
     /// Returns until when an incarnation that starts later may execute the start order; `None` if it can't.
-    fn begins_later_until(&self) -> Option<Timestamp> {
+    #[must_use]
+    pub fn begins_later_until(&self) -> Option<Timestamp> {
         let sent = self.unanswered_since().filter(|_| self.ticketed_at.is_none());
         sent.map(|at| self.timed_out.unwrap_or(at) + MAX_ORDER_DELAY)
     }
@@ -285,12 +288,13 @@
         self.reported_at = now;
     }
 
-    /// Records that a report received at `now` lists a run.
-    pub fn list(&mut self, now: Timestamp, task: TaskKey, run: u32) {
-        if let Some(reserved) = self.runs.get_mut(&(task, run)) {
-            reserved.listed_at = Some(now);
-            reserved.is_started = true;
-        }
+    /// Records that a report received at `now` lists a run; returns whether that settles its start order.
+    pub fn list(&mut self, now: Timestamp, task: TaskKey, run: u32) -> bool {
+        let Some(reserved) = self.runs.get_mut(&(task, run)) else { return false };
+        let was_settled = reserved.is_settled();
+        reserved.listed_at = Some(now);
+        reserved.is_started = true;
+        !was_settled
     }
 
     /// Returns the runs whose start orders may have reached the next incarnation under the worker's id: those that were sent
@@ -386,6 +390,11 @@
         self.awaits_report = true;
     }
 
+    /// Returns the numbers of the runs of a task that may be active on the worker.
+    pub fn task_runs(&self, task: TaskKey) -> impl Iterator<Item = u32> {
+        self.runs.range((task, 0)..=(task, u32::MAX)).map(|((_, run), _)| *run)
+    }
+
     /// Returns the number of runs of a step that may be active on the worker.
     #[must_use]
     pub fn run_count(&self, step: StepKey) -> usize {
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -16,6 +16,7 @@
 mod interleavings;
 mod isolation;
 mod large_jobs;
+mod late_starts;
 mod learning;
 mod leases;
 mod neighbours;
