Start a lasting task again at once after a lost start order

Callers saw a lasting task stand still for 13.5 s on a sound, nearly idle fleet after one start order without an answer; a lasting task may stand still for 3 s (LOST).

Cause: once the worker had confirmed the stop of such a run, its task waited until no later incarnation of the worker could execute the order, 12 s after its timeout (ReservedRun::may_begin_later). The wait guards against a second run elsewhere.

Change: the task is bound to the worker as one with an order of a previous owner, and starts there at once as the next run; the worker has confirmed the stop of the first one and refuses its order. Tasks that end still wait: one that is done before the order comes would start again.

--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -405,6 +405,11 @@
         tasks.and_then(|t| t.get(task.index as usize)).is_none_or(|t| t.done)
     }
 
+    fn is_long_running(&self, task: TaskKey) -> bool {
+        let step = self.jobs.get(&task.step.job).and_then(|j| j.spec.steps.get(task.step.step as usize));
+        step.is_some_and(|step| step.long_running)
+    }
+
     /// Handles the runs of a worker that its report does not list.
     fn on_unlisted_runs(
         &mut self,
@@ -429,8 +434,10 @@
             let reserved = self.workers.get(incarnation).and_then(|w| w.runs.get(&(task, run)));
             let is_started = reserved.is_none_or(|r| r.is_started);
             let is_inherited = reserved.is_some_and(|r| r.is_inherited);
-            // A task that is bound to the worker does not wait until its order can't be executed any more.
-            let may_begin = reserved.is_some_and(|r| r.may_begin_later(now)) && !is_inherited;
+            // A task that is bound to the worker does not wait until its order can't be executed any more. Others do, since one
+            // that is done by then would start again.
+            let is_bound = is_inherited || self.is_long_running(task);
+            let may_begin = reserved.is_some_and(|r| r.may_begin_later(now)) && !is_bound;
             // The worker may not list a run that it is stopping.
             let stop_time = if is_started { MAX_STOP_TIME } else { Duration::ZERO };
             awaits_report |= !may_begin && matches!(phase, Phase::Unconfirmed(_) | Phase::Stopping(_));
--- a/yuccahoist/tests/shard/late_starts.rs
+++ b/yuccahoist/tests/shard/late_starts.rs
@@ -308,3 +308,35 @@
         assert!(waited <= Duration::from_millis(case.restart), "the task starts elsewhere after {waited:?}");
     });
 }
+
+/// A lasting task stood still for 13 s on a sound worker after one start order without an answer.
+#[test]
+fn lasting_task_whose_start_was_not_answered_is_at_work_at_once() {
+    let faults = [
+        CallFault::ExecutedAfter(2_000),
+        CallFault::ExecutedAfter(5_000),
+        CallFault::ExecutedAfter(11_900),
+        CallFault::AnswerLost,
+    ];
+    play_all(faults, |fault| {
+        let mut cluster = ordered(Shape::Lasting.job(), Some(fault));
+        cluster.advance(MAX_IDLE_MS);
+        assert_eq!(cluster.running_on(0), 1, "tasks at work on the worker of the order");
+        cluster.advance(SETTLE_MS);
+        cluster.check_settled();
+    });
+}
+
+/// A start order of an owner that stays was carried out late by a restarted worker, while its task ran elsewhere.
+#[test]
+fn start_that_a_restarted_worker_carries_out_for_its_own_owner_is_not_doubled() {
+    let shapes = [Shape::Single, Shape::Several, Shape::Lasting, Shape::Gang];
+    let cases = shapes.into_iter().flat_map(|shape| {
+        let base = Schedule { shape, changes: &[], ..BASE };
+        let lates = [3_800, 5_000, 8_000, 9_000, 11_000, 11_900].map(|late| Schedule { late, ..base });
+        let ups = [5, 300, 600].map(|up| Schedule { up, ..base });
+        let restarts = [2, 3].map(|restarts| Schedule { restarts, down: 600, late: 8_000, ..base });
+        lates.into_iter().chain(ups).chain(restarts)
+    });
+    play_all(cases, play);
+}
