Show a done task that its late order starts again

A task whose start order was unanswered at a change of owner is started again at once. If it is done before the order is executed, and its worker has restarted by then, the order starts it once more. Only waiting 12 s with each such task would prevent it.

--- a/yuccahoist/tests/shard/late_starts.rs
+++ b/yuccahoist/tests/shard/late_starts.rs
@@ -340,3 +340,19 @@
     });
     play_all(cases, play);
 }
+
+/// A task that was bound to its worker was done before its late order was executed, which started it again.
+#[test]
+fn done_task_is_not_started_by_a_late_order() {
+    play_all([5_000, 8_000, 11_000], |late| {
+        let mut cluster = late_start(late, spec(1, 1_000));
+        cluster.advance(400);
+        cluster.take_over(true);
+        cluster.advance(late - 400 - 600 - 100);
+        assert_eq!(cluster.query_state(1), Some(JobState::Completed), "state before the crash");
+        cluster.max_registry_delay = MAX_ENTRY_DELAY_MS;
+        cluster.crash_worker(0, 600);
+        cluster.advance(SETTLE_MS);
+        assert_eq!(cluster.starts[&JobKey(1)], 1, "starts");
+    });
+}
