Share the plays of schedules between tests

late_starts.rs and earlier_orders.rs had one copy each of play_all. A finished job is not written again when a task of it is released.

--- a/yuccahoist/src/shard/owner/pins.rs
+++ b/yuccahoist/src/shard/owner/pins.rs
@@ -137,7 +137,7 @@
         for ((task, worker), pin) in self.pins.0.extract_if(.., |(_, id), pin| is_over(id, pin)) {
             log::info!(target: "decision", "unpin task={task} run={} worker={worker}", pin.run);
             // The next write tells the next owner.
-            if self.jobs.contains_key(&task.step.job) {
+            if self.jobs.get(&task.step.job).is_some_and(|j| !j.state.is_final()) {
                 self.begun.insert(task.step.job);
             }
             self.pass_due = true;
--- a/yuccahoist/tests/shard/earlier_orders.rs
+++ b/yuccahoist/tests/shard/earlier_orders.rs
@@ -1,9 +1,8 @@
 //! What a new owner has to know of orders to earlier incarnations of its workers. The cluster fails a test in which two runs
 //! of a task overlap.
 
-use std::panic::{AssertUnwindSafe, catch_unwind};
-
 use super::cluster::{CallFault, CallKind, SimulatedCluster, WORKER_CAPACITY, spec};
+use super::schedules::play_all;
 
 /// Duration of the tasks, milliseconds; longer than a lease.
 const TASK_MS: u64 = 20_000;
@@ -12,21 +11,6 @@
 /// Tasks that keep three workers busy.
 const TASKS: u32 = 8;
 
-/// Plays schedules, each with its description, and fails with those that break a rule.
-fn play_all<T: std::fmt::Debug + Copy>(schedules: impl IntoIterator<Item = T>, play: fn(T)) {
-    let mut broken = Vec::new();
-    let mut count = 0;
-    for schedule in schedules {
-        count += 1;
-        if let Err(cause) = catch_unwind(AssertUnwindSafe(|| play(schedule))) {
-            let text = cause.downcast_ref::<&str>().map(|text| (*text).to_owned());
-            let cause = text.or_else(|| cause.downcast_ref::<String>().cloned()).unwrap_or_default();
-            broken.push(format!("{schedule:?}: {cause}"));
-        }
-    }
-    assert!(broken.is_empty(), "{} of {count} schedules break a rule:\n{}", broken.len(), broken.join("\n"));
-}
-
 /// Returns a cluster with an idle worker that has restarted unnoticed and executed an order to its earlier incarnation.
 fn unnoticed_restart(late: u64) -> SimulatedCluster {
     let mut cluster = SimulatedCluster::new(1, 3);
--- a/yuccahoist/tests/shard/late_starts.rs
+++ b/yuccahoist/tests/shard/late_starts.rs
@@ -1,7 +1,6 @@
 //! Start orders without an answer that a later incarnation of their worker carries out. The cluster fails a test in which two
 //! runs of a task overlap.
 
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
 use yuccahoist::shard::JobKey;
@@ -10,6 +9,7 @@
 use yuccahoist::unit::Resources;
 
 use super::cluster::{CallFault, CallKind, SimulatedCluster, WORKER_CAPACITY, spec};
+use super::schedules::play_all;
 
 /// Duration of the tasks, milliseconds; longer than an order can be late.
 const TASK_MS: u64 = 20_000;
@@ -94,21 +94,6 @@
 /// Longest time from the start of a worker to its registry entry, milliseconds.
 const MAX_ENTRY_DELAY_MS: u64 = 2_000;
 
-/// Plays schedules, and fails with those that break a rule.
-fn play_all<T: std::fmt::Debug + Copy>(schedules: impl IntoIterator<Item = T>, play: impl Fn(T)) {
-    let mut broken = Vec::new();
-    let mut count = 0;
-    for schedule in schedules {
-        count += 1;
-        if let Err(cause) = catch_unwind(AssertUnwindSafe(|| play(schedule))) {
-            let text = cause.downcast_ref::<&str>().map(|text| (*text).to_owned());
-            let cause = text.or_else(|| cause.downcast_ref::<String>().cloned()).unwrap_or_default();
-            broken.push(format!("{schedule:?}: {cause}"));
-        }
-    }
-    assert!(broken.is_empty(), "{} of {count} schedules break a rule:\n{}", broken.len(), broken.join("\n"));
-}
-
 /// Returns a cluster in which the start orders of job 1 to worker 0 come late, and in which worker 1 is the better choice
 /// from then on.
 fn late_start(late: u64, job: JobSpec) -> SimulatedCluster {
--- a/yuccahoist/tests/shard/main.rs
+++ b/yuccahoist/tests/shard/main.rs
@@ -27,6 +27,7 @@
 mod request_queue;
 mod retry;
 mod run_ends;
+mod schedules;
 mod shares;
 mod speeds;
 mod takeover;
