Reserve workers only for gangs that fit beside lasting tasks

Cause: workers are reserved for a gang that fits on them once they are empty, but lasting tasks neither end nor are preempted, so the reservation never ended. Ruled out: passes that end too early, since the full pass did not free the jobs.

Change: the room that counts is the capacity without the lasting tasks, for the reservation and for the room that is kept under the cap of a workspace. What a run needs is one struct, Demand, which tells whether the run lasts.

--- a/yuccahoist/src/shard/cap.rs
+++ b/yuccahoist/src/shard/cap.rs
@@ -135,10 +135,10 @@
 pub fn running_sums<'w>(workers: impl Iterator<Item = &'w Worker>) -> BTreeMap<WorkspaceName, Resources> {
     let mut sums: BTreeMap<WorkspaceName, Resources> = BTreeMap::new();
     for run in workers.flat_map(|w| w.runs.values()) {
-        let Some(name) = &run.workspace else { continue };
+        let Some(name) = &run.demand.workspace else { continue };
         match sums.get_mut(name) {
-            Some(sum) => *sum += run.counted,
-            None => drop(sums.insert(name.clone(), run.counted)),
+            Some(sum) => *sum += run.demand.counted,
+            None => drop(sums.insert(name.clone(), run.demand.counted)),
         }
     }
     sums
--- a/yuccahoist/src/shard/owner/caps.rs
+++ b/yuccahoist/src/shard/owner/caps.rs
@@ -14,7 +14,7 @@
 use crate::shard::id::{JobKey, StepKey, TaskKey};
 use crate::shard::record::DisplacedRun;
 use crate::shard::spec::{JobSpec, StepSpec};
-use crate::shard::worker::Worker;
+use crate::shard::worker::{Demand, Worker};
 use crate::shard::workspace::WorkspaceName;
 use crate::unit::{Resources, Timestamp};
 
@@ -60,7 +60,7 @@
             };
             let worker = self.workers.entry(incarnation.clone()).or_insert_with(placeholder);
             worker.unlisted_since = Some(now);
-            worker.reserve(task, *run, spec.reserved(), spec.resources, workspace.clone(), Some(now));
+            worker.reserve(task, *run, Demand::of(spec, workspace.clone()), Some(now));
             // The runs of the task may overlap.
             worker.answer_start(task, *run);
             job.displaced.insert((task, *run), incarnation.clone());
@@ -104,18 +104,27 @@
         }
     }
 
-    /// Returns the need of a gang that its cap and the workers, if they were empty, have room for.
+    /// Returns the need of a gang that its cap and the workers have room for once all tasks that end have ended.
     fn runnable_gang(&self, key: StepKey, candidates: &Candidates) -> Option<Resources> {
-        let (step, (_, cap)) = (self.cap_step(key)?, self.cap_of(key.job)?);
+        let (step, (name, cap)) = (self.cap_step(key)?, self.cap_of(key.job)?);
         let service = &self.jobs.get(&key.job)?.spec.queue.service;
         let most = step.max_per_worker.unwrap_or(u32::MAX);
         let eligible = candidates.list.iter().filter(|c| is_eligible(c, service, step));
-        let room =
-            eligible.map(|c| u64::from(fitting_tasks(step.reserved(), c.capacity).min(most))).sum::<u64>();
-        let is_runnable = cap.can_run(step) && room >= u64::from(step.tasks);
+        let room = eligible
+            .map(|c| u64::from(fitting_tasks(step.reserved(), self.room_beside_lasting(c)).min(most)))
+            .sum::<u64>();
+        let has_cap_room = cap.admitted(self.lasting_usage(name), step, step.tasks) > 0;
+        let is_runnable = has_cap_room && room >= u64::from(step.tasks);
         is_runnable.then(|| step.resources.times(step.tasks))
     }
 
+    /// Returns the sum of the lasting tasks that a workspace has running.
+    fn lasting_usage(&self, name: &WorkspaceName) -> Resources {
+        let demands = self.workers.values().flat_map(|w| w.runs.values()).map(|run| &run.demand);
+        let lasting = demands.filter(|d| d.is_lasting && d.workspace.as_ref() == Some(name));
+        lasting.fold(Resources::ZERO, |sum, demand| sum + demand.counted)
+    }
+
     fn cap_step(&self, key: StepKey) -> Option<&StepSpec> {
         self.jobs.get(&key.job)?.spec.steps.get(key.step as usize)
     }
--- a/yuccahoist/src/shard/owner/preempt.rs
+++ b/yuccahoist/src/shard/owner/preempt.rs
@@ -34,7 +34,7 @@
 
 impl Owner {
     /// Reserves workers for a gang that does not fit, and preempts tasks on them; returns false for a step that is not a
-    /// gang or could not fit on empty workers.
+    /// gang or does not fit once all tasks that end have ended.
     pub(super) fn reserve_for_gang(
         &mut self,
         now: Timestamp,
@@ -75,7 +75,8 @@
         };
         let mut incarnations: Vec<WorkerIncarnation> = chosen.into_iter().map(|p| p.incarnation).collect();
         if unplaced > 0 {
-            let Some(sufficient) = workers_if_empty(&allowed, resources, max_tasks, step_spec.tasks) else {
+            let rooms = allowed.iter().map(|c| (*c, self.room_beside_lasting(c))).collect();
+            let Some(sufficient) = workers_with_room(rooms, resources, max_tasks, step_spec.tasks) else {
                 return false;
             };
             incarnations = sufficient;
@@ -86,6 +87,13 @@
         true
     }
 
+    /// Returns the resources of a worker for tasks that end: lasting ones neither end nor are preempted.
+    pub(super) fn room_beside_lasting(&self, candidate: &Candidate) -> Resources {
+        let runs = self.workers.get(&candidate.incarnation).into_iter().flat_map(|w| w.runs.values());
+        let lasting = runs.filter(|run| run.demand.is_lasting);
+        lasting.fold(candidate.capacity, |room, run| room.saturating_sub(run.demand.resources))
+    }
+
     /// Returns the workers for a gang of `count` tasks, and how many of these don't fit.
     fn plan_gang(
         &self,
@@ -125,7 +133,7 @@
         if let Some(worker) = self.workers.get(&candidate.incarnation) {
             for ((task, run), reserved) in &worker.runs {
                 if self.is_preemptible(*task, *run, claim) {
-                    free += reserved.resources;
+                    free += reserved.demand.resources;
                     let fitting = fitting_tasks(resources, free);
                     preempted.push(*task);
                     most_fitting = most_fitting.max(fitting);
@@ -189,19 +197,19 @@
     }
 }
 
-/// Returns workers that would hold `count` tasks if they were empty.
-fn workers_if_empty(
-    allowed: &[&Candidate],
+/// Returns workers that would hold `count` tasks, those with most free processors first. `rooms` has the workers with the
+/// resources that they would have then.
+fn workers_with_room(
+    mut rooms: Vec<(&Candidate, Resources)>,
     resources: Resources,
     max_tasks: u32,
     count: u32,
 ) -> Option<Vec<WorkerIncarnation>> {
-    let mut by_free_cpu: Vec<&&Candidate> = allowed.iter().collect();
-    by_free_cpu.sort_by_key(|c| std::cmp::Reverse(c.free.cpu));
+    rooms.sort_by_key(|(candidate, _)| std::cmp::Reverse(candidate.free.cpu));
     let mut unplaced = count;
     let mut chosen = Vec::new();
-    for candidate in by_free_cpu {
-        let fitting = fitting_tasks(resources, candidate.capacity).min(max_tasks);
+    for (candidate, room) in rooms {
+        let fitting = fitting_tasks(resources, room).min(max_tasks);
         if fitting > 0 {
             chosen.push(candidate.incarnation.clone());
             unplaced = unplaced.saturating_sub(fitting);
--- a/yuccahoist/src/shard/owner/recover.rs
+++ b/yuccahoist/src/shard/owner/recover.rs
@@ -16,7 +16,7 @@
 use crate::shard::record::{Progress, Record};
 use crate::shard::retry::RefusedCallers;
 use crate::shard::spec::{JobSpec, Queue};
-use crate::shard::worker::Worker;
+use crate::shard::worker::{Demand, Worker};
 use crate::shard::workspace::Workspace;
 use crate::unit::{Resources, Timestamp};
 
@@ -169,7 +169,7 @@
             for (number, tasks) in (0u32..).zip(steps) {
                 let Some(step) = job.occurrences[occurrence as usize].get_mut(number as usize) else { break };
                 let step_spec = &spec.steps[number as usize];
-                let (resources, counted) = (step_spec.reserved(), step_spec.resources);
+                let demand = Demand::of(step_spec, workspace.clone());
                 let follows_starts = spec.follows_starts(step_spec);
                 let is_settled =
                     |index| progress.settled.iter().any(|range| range.contains(occurrence, number, index));
@@ -190,8 +190,8 @@
                         if let Some(orders) = stored.placement.and_then(|p| progress.earlier_orders.get(&p)) {
                             worker.lease.inherit_orders(*orders, now, self.options.max_lease);
                         }
-                        let (run, workspace) = (placement.run, workspace.clone());
-                        worker.reserve(task_key, run, resources, counted, workspace, Some(now));
+                        let run = placement.run;
+                        worker.reserve(task_key, run, demand.clone(), Some(now));
                         if !follows_starts || is_settled(index) {
                             worker.answer_start(task_key, run);
                         }
--- a/yuccahoist/src/shard/owner/reports.rs
+++ b/yuccahoist/src/shard/owner/reports.rs
@@ -11,7 +11,7 @@
 use crate::shard::loss::WorkerFate;
 use crate::shard::message::{Action, ActiveRun, OrderError, Report};
 use crate::shard::run_end::EndProof;
-use crate::shard::worker::{LeaseExtension, Worker};
+use crate::shard::worker::{Demand, LeaseExtension, Worker};
 use crate::unit::Timestamp;
 
 /// Number of ended runs from which a report may be truncated; defined by the platform.
@@ -339,16 +339,16 @@
         self.check_unplaced(now, incarnation, task, run);
         let job = self.jobs.get(&task.step.job);
         let step_spec = job.and_then(|j| j.spec.steps.get(task.step.step as usize));
-        let known = step_spec.map(|s| (s.reserved(), s.resources, s.speculative));
+        let speculative = step_spec.is_some_and(|s| s.speculative);
         let workspace = job.and_then(|j| j.spec.workspace.as_ref()).map(|w| w.name.clone());
+        let known = step_spec.map(|s| Demand::of(s, workspace.clone()));
         let done = job.is_none_or(|j| j.state.is_final()) || self.is_done(task);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             // The resources of a run are unknown once its job's specification is deleted; it may take up the whole worker.
             let capacity = worker.entry.capacity;
-            let (resources, counted, _) = known.unwrap_or((capacity, capacity, false));
-            worker.reserve(task, run, resources, counted, workspace, Some(now));
+            let unknown = Demand { resources: capacity, counted: capacity, workspace, is_lasting: false };
+            worker.reserve(task, run, known.unwrap_or(unknown), Some(now));
         }
-        let speculative = known.is_some_and(|(_, _, speculative)| speculative);
         if !speculative || done {
             log::info!(target: "decision", "stop task={task} run={run} worker={incarnation} reason=\"not placed on this worker\"");
             if !done {
--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -22,7 +22,7 @@
 use crate::shard::packing::{self, FreeCapacity, Goal};
 use crate::shard::spec::StepSpec;
 use crate::shard::speed::Speed;
-use crate::shard::worker::Worker;
+use crate::shard::worker::{Demand, Worker};
 use crate::unit::{Resources, Timestamp};
 
 /// Number of consecutive steps that do not fit after which a pass ends; a pass has to stay within a few milliseconds on a
@@ -649,12 +649,11 @@
             measured_from: None,
         });
         let probation = task.losses.probation();
-        let counted = job.spec.steps[key.step as usize].resources;
-        let resources = job.spec.steps[key.step as usize].reserved();
         let workspace = job.spec.workspace.as_ref().map(|w| w.name.clone());
+        let demand = Demand::of(&job.spec.steps[key.step as usize], workspace);
         job.active_runs += 1;
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.reserve(task_key, run, resources, counted, workspace, None);
+            worker.reserve(task_key, run, demand, None);
             if let Some(age) = probation {
                 log::info!(target: "decision", "probation task={task_key} run={run} worker={incarnation} age_ms={}", age.as_millis());
                 worker.put_on_probation(task_key, run, age);
--- a/yuccahoist/src/shard/worker.rs
+++ b/yuccahoist/src/shard/worker.rs
@@ -10,15 +10,37 @@
 use super::loss::START_AGE;
 use super::message::WorkerEntry;
 use super::pacing::Pace;
+use super::spec::StepSpec;
 use super::watch::Watch;
 use super::workspace::WorkspaceName;
 use crate::unit::{Resources, Timestamp};
 
-/// Run that may be active on a worker.
+/// What a run needs.
 #[derive(Debug, Clone)]
-pub struct ReservedRun {
+pub struct Demand {
     /// Resources that count against the capacity of the worker.
     pub resources: Resources,
+    /// Resources that count against the cap of the workspace: the full request, also of a filler.
+    pub counted: Resources,
+    /// Workspace whose cap the run counts against.
+    pub workspace: Option<WorkspaceName>,
+    /// Whether the run does not end by itself.
+    pub is_lasting: bool,
+}
+
+impl Demand {
+    /// Returns the demand of a run of a step.
+    #[must_use]
+    pub fn of(step: &StepSpec, workspace: Option<WorkspaceName>) -> Self {
+        Self { resources: step.reserved(), counted: step.resources, workspace, is_lasting: step.long_running }
+    }
+}
+
+/// Run that may be active on a worker.
+#[derive(Debug, Clone)]
+pub struct ReservedRun {
+    /// What the run needs.
+    pub demand: Demand,
     /// When the worker may first have started the run; `None` before the start order is sent.
     pub ordered_at: Option<Timestamp>,
     /// Whether a previous owner sent the start order, so that the age of the run is unknown.
@@ -33,10 +55,6 @@
     pub ticketed_at: Option<Timestamp>,
     /// When a report last listed the run.
     pub listed_at: Option<Timestamp>,
-    /// Resources that count against the cap of the workspace: the full request, also of a filler.
-    pub counted: Resources,
-    /// Workspace whose cap the run counts against.
-    pub workspace: Option<WorkspaceName>,
     /// How long the run has to be active until other runs may start beside it.
     pub probation: Option<Duration>,
 }
@@ -232,18 +250,11 @@
 
     /// Reserves the resources of a run; has no effect when they are reserved already. `ordered_at` is the time from which
     /// a run of a previous owner may be active.
-    pub fn reserve(
-        &mut self,
-        task: TaskKey,
-        run: u32,
-        resources: Resources,
-        counted: Resources,
-        workspace: Option<WorkspaceName>,
-        ordered_at: Option<Timestamp>,
-    ) {
+    pub fn reserve(&mut self, task: TaskKey, run: u32, demand: Demand, ordered_at: Option<Timestamp>) {
         let Entry::Vacant(entry) = self.runs.entry((task, run)) else { return };
+        self.used += demand.resources;
         entry.insert(ReservedRun {
-            resources,
+            demand,
             ordered_at,
             is_inherited: ordered_at.is_some(),
             is_started: false,
@@ -251,11 +262,8 @@
             timed_out: None,
             ticketed_at: None,
             listed_at: None,
-            counted,
-            workspace,
             probation: None,
         });
-        self.used += resources;
     }
 
     /// Keeps other runs off the worker until a run has been active for `age`.
@@ -377,14 +385,14 @@
         let released = self.runs.remove(&(task, run))?;
         self.probations -= usize::from(released.probation.is_some());
         // Summed anew: subtraction saturates, so `used` could end up too high.
-        self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum + run.resources);
+        self.used = self.runs.values().fold(Resources::ZERO, |sum, run| sum + run.demand.resources);
         Some(released)
     }
 
     /// Reserves a run that may have been started here in place of on an earlier incarnation.
     pub fn reserve_moved(&mut self, task: TaskKey, run: u32, reserved: ReservedRun) {
         let reserved = ReservedRun { is_started: false, ..reserved };
-        self.used += reserved.resources;
+        self.used += reserved.demand.resources;
         self.probations += usize::from(reserved.probation.is_some());
         self.runs.insert((task, run), reserved);
         self.awaits_report = true;
--- a/yuccahoist/tests/shard/blocked.rs
+++ b/yuccahoist/tests/shard/blocked.rs
@@ -4,7 +4,7 @@
 use yuccahoist::shard::spec::JobSpec;
 use yuccahoist::unit::Resources;
 
-use super::cluster::{SimulatedCluster, WORKER_CAPACITY, spec};
+use super::cluster::{SimulatedCluster, WORKER_CAPACITY, in_workspace, spec};
 use super::schedules::play_all;
 
 /// Label of half of the workers.
@@ -112,3 +112,76 @@
         }
     });
 }
+
+/// Workers, or room under a cap, were kept for a gang that lasting tasks leave no room for, so that other jobs never started.
+#[test]
+fn gang_that_lasting_tasks_leave_no_room_for_keeps_no_others_from_it() {
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    enum Limit {
+        Workers,
+        WorkersWithTickets,
+        Cap,
+    }
+    play_all([Limit::Workers, Limit::WorkersWithTickets, Limit::Cap], |limit| {
+        let mut cluster = SimulatedCluster::new(1, WORKERS as u32);
+        let cap = Resources::new(12 * 4_000, 0, 0);
+        if limit == Limit::Cap {
+            cluster.set_caps(&[("blue", cap)]);
+        }
+        let job = |tasks, cpu| {
+            let mut job = spec(tasks, TASK_MS);
+            job.steps[0].resources = Resources::new(cpu, 1_000, 0);
+            match limit {
+                Limit::Workers => job,
+                Limit::WorkersWithTickets => SimulatedCluster::with_recommendation(job),
+                Limit::Cap => in_workspace("blue", cap, job),
+            }
+        };
+        cluster.advance(100);
+        let mut lasting = job(WORKERS as u32, 4_000);
+        lasting.steps[0].long_running = true;
+        lasting.steps[0].max_per_worker = Some(1);
+        cluster.submit(1, lasting);
+        cluster.advance(1_000);
+        let mut gang = if limit == Limit::Cap { job(6, 4_000) } else { job(WORKERS as u32, 14_000) };
+        gang.steps[0].gang = true;
+        cluster.submit(2, gang);
+        cluster.advance(5_000);
+        for number in 10..20 {
+            cluster.submit(number, job(1, 1_000));
+            cluster.advance(500);
+        }
+        cluster.advance(MAX_IDLE_MS);
+        for number in 10..20 {
+            assert_eq!(cluster.query_state(number), Some(JobState::Completed), "job {number}");
+        }
+    });
+}
+
+/// A gang for which tasks only have to end still gets its turn.
+#[test]
+fn gang_that_fits_once_other_tasks_have_ended_is_not_starved() {
+    play_all([false, true], |has_lasting| {
+        let mut cluster = SimulatedCluster::new(1, WORKERS as u32);
+        cluster.advance(100);
+        if has_lasting {
+            let mut lasting = spec(WORKERS as u32, 1_000);
+            lasting.steps[0].long_running = true;
+            lasting.steps[0].max_per_worker = Some(1);
+            cluster.submit(1, lasting);
+            cluster.advance(1_000);
+        }
+        let mut gang = spec(WORKERS as u32, 500);
+        gang.steps[0].gang = true;
+        gang.steps[0].resources = Resources::new(if has_lasting { 12_000 } else { 16_000 }, 1_000, 0);
+        for number in 10..90 {
+            cluster.submit(number, spec(4, 1_500));
+            cluster.advance(100);
+            if number == 20 {
+                cluster.submit(2, gang.clone());
+            }
+        }
+        cluster.advance(20_000);
+        assert_eq!(cluster.query_state(2), Some(JobState::Completed), "the gang");
+    });
+}
