--- a/yuccahoist/src/shard/owner/schedule.rs
+++ b/yuccahoist/src/shard/owner/schedule.rs
@@ -10,14 +10,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::missed_demands::MissedDemands;
 use super::neighbours::undisturbed;
 use super::observe::SpeedForecast;
-use super::pins::Binding;
+use super::pending_tasks::PendingTasks;
 use super::recommendations::{RequestOffer, order_by_pace};
 use super::shares::workspace_field;
 use super::{Effect, Owner};
 use crate::shard::id::{JobKey, StepKey, WorkerIncarnation};
-use crate::shard::job::{Phase, Placement, Step, Task};
+use crate::shard::job::{Phase, Placement};
 use crate::shard::order::Timeliness;
 use crate::shard::packing::{self, FreeCapacity, Goal};
 use crate::shard::spec::StepSpec;
@@ -27,7 +28,7 @@
 
 /// Number of consecutive steps that do not fit after which a pass ends; a pass has to stay within a few milliseconds on a
 /// quarter of a core.
-const MAX_CONSECUTIVE_MISSES: usize = 40;
+pub(super) const MAX_CONSECUTIVE_MISSES: usize = 40;
 /// Number of steps tried in one pass, limited for the same reason.
 const MAX_STEPS_PER_PASS: usize = 250;
 /// Time between two full passes; a job that could run may have nothing running for 3 s.
@@ -96,109 +97,6 @@
     expired: Vec<WorkerIncarnation>,
 }
 
-/// Tasks of a step that are placed in a pass.
-#[derive(Debug, Default)]
-struct PendingTasks {
-    /// Tasks that are bound to a worker, each with its incarnation.
-    pinned: Vec<(u32, WorkerIncarnation)>,
-    /// Tasks under suspicion; at most one that may crash its worker at the start, unless they are a gang.
-    suspects: Vec<u32>,
-    /// Other tasks.
-    unsuspected: Vec<u32>,
-    /// Whether tasks under suspicion, or bound to a worker that they wait for, are left out of this pass.
-    on_hold: bool,
-}
-
-impl PendingTasks {
-    /// Selects the tasks; `admits_suspects` is whether one that may crash its worker at the start may start now.
-    fn new(step: &Step, step_spec: &StepSpec, admits_suspects: bool) -> Self {
-        let unplaced = (0u32..).zip(&step.tasks).filter(|(_, t)| !t.done && t.placement.is_none());
-        let (suspects, unsuspected): (Vec<_>, Vec<_>) =
-            unplaced.partition(|(_, task)| task.losses.probation().is_some());
-        let indexes = |tasks: Vec<(u32, &Task)>| tasks.into_iter().map(|(index, _)| index).collect();
-        let mut pending =
-            Self { suspects: indexes(suspects), unsuspected: indexes(unsuspected), ..Self::default() };
-        let is_limited = |index: &u32| step.tasks[*index as usize].losses.may_crash_at_start();
-        let limited = pending.suspects.iter().filter(|index| is_limited(index)).count();
-        let admitted = if admits_suspects && step_spec.gang { limited } else { usize::from(admits_suspects) };
-        pending.on_hold = limited > admitted;
-        if pending.on_hold && step_spec.gang {
-            return Self { on_hold: true, ..Self::default() };
-        }
-        let mut left = admitted;
-        pending.suspects.retain(|index| {
-            let keep = !is_limited(index) || left > 0;
-            left -= usize::from(keep && is_limited(index));
-            keep
-        });
-        pending
-    }
-
-    /// Sets the tasks apart that are bound to a worker, and leaves out those that wait for it. A gang waits as a whole.
-    fn bind(&mut self, is_gang: bool, binding: impl Fn(u32) -> Option<Binding>) {
-        let Self { pinned, suspects, unsuspected, .. } = self;
-        let mut waits = false;
-        for tasks in [suspects, unsuspected] {
-            tasks.retain(|index| {
-                match binding(*index) {
-                    None => return true,
-                    Some(Binding::Worker(incarnation)) => pinned.push((*index, incarnation)),
-                    Some(Binding::Awaited) => waits = true,
-                }
-                false
-            });
-        }
-        if waits && is_gang {
-            *self = Self { on_hold: true, ..Self::default() };
-        }
-        self.on_hold |= waits;
-    }
-
-    fn count(&self) -> usize {
-        self.pinned.len() + self.suspects.len() + self.unsuspected.len()
-    }
-
-    /// Keeps the first `count` tasks; returns whether there were more.
-    fn truncate(&mut self, count: usize) -> bool {
-        let is_longer = self.count() > count;
-        self.pinned.truncate(count);
-        self.suspects.truncate(count - self.pinned.len());
-        self.unsuspected.truncate(count - self.pinned.len() - self.suspects.len());
-        is_longer
-    }
-}
-
-/// What a step requires of a worker apart from the amount of resources: the service, the label and whether it has accelerators.
-type WorkerKind = (String, Option<String>, bool);
-
-/// Demands of the steps that did not fit in a pass, by kind of worker.
-#[derive(Debug, Default)]
-struct MissedDemands(BTreeMap<WorkerKind, Vec<Resources>>);
-
-impl MissedDemands {
-    fn kind(service: &str, step_spec: &StepSpec) -> WorkerKind {
-        (service.to_owned(), step_spec.label.clone(), step_spec.resources.accelerators.0 > 0)
-    }
-
-    fn add(&mut self, service: &str, step_spec: &StepSpec) {
-        let (missed, need) =
-            (self.0.entry(Self::kind(service, step_spec)).or_default(), step_spec.reserved());
-        if !missed.iter().any(|other| other.fits(need)) {
-            missed.push(need);
-        }
-    }
-
-    /// Whether a step is passed over: one of its kind that needs no more of any resource did not fit, or many did not and it
-    /// does not need less than all of them.
-    fn covers(&self, service: &str, step_spec: &StepSpec) -> bool {
-        let Some(missed) = self.0.get(&Self::kind(service, step_spec)) else { return false };
-        let need = step_spec.reserved();
-        let is_many = missed.len() >= MAX_CONSECUTIVE_MISSES;
-        missed.iter().any(|other| other.fits(need))
-            || (is_many && !missed.iter().all(|other| need.fits(*other)))
-    }
-}
-
 /// Result of the attempt to place a step.
 enum PlaceOutcome {
     Placed,
