--- a/yuccahoist/tests/shard/blocked.rs
+++ b/yuccahoist/tests/shard/blocked.rs
@@ -18,6 +18,8 @@
 /// Workers with the label, and all.
 const LABELLED: usize = 4;
 const WORKERS: usize = 8;
+/// Time for which the workers that can run jobs are cut off, milliseconds.
+const CUT_MS: u64 = 10_000;
 /// Time after which the jobs that have begun are done, milliseconds.
 const SETTLE_MS: u64 = 5_000;
 /// Time for which no task of a job may be idle while there is room; defined by the platform, milliseconds.
@@ -59,9 +61,9 @@
     }
 }
 
-/// A pass ended after 40 steps that did not fit, and each began with the same ones, so that jobs behind them never started.
-#[test]
-fn steps_that_can_not_be_placed_keep_no_others_from_it() {
+/// Plays jobs behind 400 that can't be placed; those that can have to begin within `limit` milliseconds of the return of
+/// their workers.
+fn play_behind_blocked(limit: u64) {
     use Obstacle::{Full, FullForAllSizes, Lost, LostUnderGangs, TooLarge};
     let obstacles = [Lost, Full, FullForAllSizes, TooLarge, LostUnderGangs];
     let cases = obstacles.into_iter().flat_map(|o| [false, true].map(|has_tickets| (o, has_tickets)));
@@ -87,7 +89,8 @@
                 .for_each(|worker| cluster.resize_worker(worker, Resources::new(8_000, 32_000, 0)));
         }
         // All jobs are late once the other workers are back, so that they are placed in the order of their work.
-        (LABELLED..WORKERS).for_each(|worker| cluster.disconnect(worker, 10_000, true));
+        (LABELLED..WORKERS).for_each(|worker| cluster.disconnect(worker, CUT_MS, true));
+        let cut = cluster.now;
         cluster.advance(1_000);
         let with_tickets = |job| if has_tickets { SimulatedCluster::with_recommendation(job) } else { job };
         for number in 0..BLOCKED {
@@ -100,7 +103,8 @@
             cluster.submit(number, with_tickets(spec(8, TASK_MS)));
             cluster.advance(5);
         }
-        cluster.advance(10_000 + MAX_IDLE_MS);
+        let elapsed = u64::try_from(cluster.now.since(cut).as_millis()).expect("short test");
+        cluster.advance(CUT_MS + limit - elapsed);
         let accepted: Vec<u64> = free.filter(|job| cluster.is_accepted(*job)).collect();
         assert!(!accepted.is_empty(), "no job was accepted");
         for job in &accepted {
@@ -113,6 +117,18 @@
     });
 }
 
+/// A pass ended after 40 steps that did not fit, and each began with the same ones, so that jobs behind them never started.
+#[test]
+fn steps_that_can_not_be_placed_keep_no_others_from_it() {
+    play_behind_blocked(2 * MAX_IDLE_MS);
+}
+
+/// Only full passes reach jobs behind such steps, so that the last of several begins late.
+#[test]
+fn jobs_behind_blocked_steps_begin_in_time() {
+    play_behind_blocked(MAX_IDLE_MS);
+}
+
 /// Workers, or room under a cap, were kept for a gang that lasting tasks leave no room for, so that other jobs never started.
 #[test]
 fn gang_that_lasting_tasks_leave_no_room_for_keeps_no_others_from_it() {
