--- a/yuccahoist/tests/shard/blocked.rs
+++ b/yuccahoist/tests/shard/blocked.rs
@@ -61,9 +61,17 @@
     }
 }
 
-/// Plays jobs behind 400 that can't be placed; those that can have to begin within `limit` milliseconds of the return of
-/// their workers.
-fn play_behind_blocked(limit: u64) {
+/// From when the time is counted in which jobs have to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Since {
+    /// The return of the workers that can run them.
+    Return,
+    /// The last submission, with the time for which these workers are cut off besides.
+    Submission,
+}
+
+/// Plays jobs behind 400 that can't be placed.
+fn play_behind_blocked(since: Since) {
     use Obstacle::{Full, FullForAllSizes, Lost, LostUnderGangs, TooLarge};
     let obstacles = [Lost, Full, FullForAllSizes, TooLarge, LostUnderGangs];
     let cases = obstacles.into_iter().flat_map(|o| [false, true].map(|has_tickets| (o, has_tickets)));
@@ -104,7 +112,8 @@
             cluster.advance(5);
         }
         let elapsed = u64::try_from(cluster.now.since(cut).as_millis()).expect("short test");
-        cluster.advance(CUT_MS + limit - elapsed);
+        let passed = if since == Since::Return { elapsed } else { 0 };
+        cluster.advance(CUT_MS + MAX_IDLE_MS - passed);
         let accepted: Vec<u64> = free.filter(|job| cluster.is_accepted(*job)).collect();
         assert!(!accepted.is_empty(), "no job was accepted");
         for job in &accepted {
@@ -120,13 +129,13 @@
 /// A pass ended after 40 steps that did not fit, and each began with the same ones, so that jobs behind them never started.
 #[test]
 fn steps_that_can_not_be_placed_keep_no_others_from_it() {
-    play_behind_blocked(2 * MAX_IDLE_MS);
+    play_behind_blocked(Since::Submission);
 }
 
 /// Only full passes reach jobs behind such steps, so that the last of several begins late.
 #[test]
 fn jobs_behind_blocked_steps_begin_in_time() {
-    play_behind_blocked(MAX_IDLE_MS);
+    play_behind_blocked(Since::Return);
 }
 
 /// Workers, or room under a cap, were kept for a gang that lasting tasks leave no room for, so that other jobs never started.
